--- a/blackboard/board.go
+++ b/blackboard/board.go
@@ -7,7 +7,7 @@
 	"papayacroft/configuration"
 	"papayacroft/inventory"
 	"papayacroft/membership"
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 // Board is the control state; only the control goroutine touches it.
@@ -21,7 +21,7 @@
 	VersionFloor  int64
 	LogReadAt     time.Time
 	LogError      string
-	VMs           []platform.VM
+	VMs           []provider.VM
 	VMsReadAt     time.Time
 	DrainingSince time.Time
 	// Members holds the other daemons and this one; it is replaced, never modified in place.
@@ -44,7 +44,7 @@
 	Outcomes      []configuration.Outcome
 	LogReadAt     time.Time
 	LogError      string
-	VMs           []platform.VM
+	VMs           []provider.VM
 	VMsReadAt     time.Time
 	DrainingSince time.Time
 	Members       []membership.Member
--- a/blackboard/input.go
+++ b/blackboard/input.go
@@ -7,14 +7,14 @@
 	"github.com/sirupsen/logrus"
 
 	"papayacroft/configuration"
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 // LogBatch brings records of the configuration stream.
 type LogBatch struct {
 	// Asked is the offset that the read began at.
 	Asked  int64
-	Batch  platform.Batch
+	Batch  provider.Batch
 	Logger logrus.FieldLogger
 	// Next receives the offset to read from next; it needs room for one value.
 	Next chan<- int64
@@ -79,7 +79,7 @@
 
 // VMList brings the platform's list.
 type VMList struct {
-	VMs []platform.VM
+	VMs []provider.VM
 }
 
 // Apply replaces the list.
--- a/capacity/cluster.go
+++ b/capacity/cluster.go
@@ -17,7 +17,7 @@
 
 	"papayacroft/configuration"
 	"papayacroft/inventory"
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 const (
@@ -127,7 +127,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	_, err = platform.NewHTTPLog("http://"+log).Append(context.Background(), configuration.Stream, body)
+	_, err = provider.NewHTTPLog("http://"+log).Append(context.Background(), configuration.Stream, body)
 	return trace.Wrap(err)
 }
 
--- a/capacity/measure_configuration.go
+++ b/capacity/measure_configuration.go
@@ -9,7 +9,7 @@
 
 	"papayacroft/configuration"
 	"papayacroft/inventory"
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 const (
@@ -67,7 +67,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	changed, err := sta.Apply(platform.Record{Offset: offset, At: time.Now(), Body: body})
+	changed, err := sta.Apply(provider.Record{Offset: offset, At: time.Now(), Body: body})
 	if err == nil && !changed {
 		err = trace.BadParameter("publish at offset %d was not accepted: %v", offset, sta.Outcomes)
 	}
--- a/claim/history_test.go
+++ b/claim/history_test.go
@@ -15,14 +15,14 @@
 	"pgregory.net/rapid"
 
 	"papayacroft/membership"
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 // fakeLog is a log that loses answers, lets appends take effect late, is slow or down, and expires records.
 type fakeLog struct {
 	mutex   sync.Mutex
 	mode    string
-	records map[string][]platform.Record
+	records map[string][]provider.Record
 	first   map[string]int64
 	appends map[string][]time.Time
 }
@@ -30,7 +30,7 @@
 var errLog = errors.New("log failed")
 
 func newFakeLog() *fakeLog {
-	return &fakeLog{records: map[string][]platform.Record{}, first: map[string]int64{}, appends: map[string][]time.Time{}}
+	return &fakeLog{records: map[string][]provider.Record{}, first: map[string]int64{}, appends: map[string][]time.Time{}}
 }
 
 func (log *fakeLog) set(mode string) {
@@ -39,7 +39,7 @@
 	log.mode = mode
 	if mode == "expire" {
 		for name, records := range log.records {
-			kept := slices.IndexFunc(records, func(rec platform.Record) bool { return time.Since(rec.At) < tableLifetime })
+			kept := slices.IndexFunc(records, func(rec provider.Record) bool { return time.Since(rec.At) < tableLifetime })
 			if kept < 0 {
 				kept = len(records)
 			}
@@ -53,7 +53,7 @@
 	log.mutex.Lock()
 	defer log.mutex.Unlock()
 	offset := log.first[stream] + int64(len(log.records[stream])) + 1
-	log.records[stream] = append(log.records[stream], platform.Record{Offset: offset, At: time.Now(), Body: body})
+	log.records[stream] = append(log.records[stream], provider.Record{Offset: offset, At: time.Now(), Body: body})
 	return offset
 }
 
@@ -79,16 +79,16 @@
 	return offset, nil
 }
 
-func (log *fakeLog) ReadPage(_ context.Context, stream string, from int64, _ time.Duration) (platform.Batch, error) {
+func (log *fakeLog) ReadPage(_ context.Context, stream string, from int64, _ time.Duration) (provider.Batch, error) {
 	log.mutex.Lock()
 	defer log.mutex.Unlock()
 	if log.mode == "down" {
-		return platform.Batch{}, errLog
+		return provider.Batch{}, errLog
 	}
 	first := log.first[stream] + 1
 	records := log.records[stream]
 	start := min(max(from-first, 0), int64(len(records)))
-	return platform.Batch{First: first, Next: first + int64(len(records)), Records: slices.Clone(records[start:])}, nil
+	return provider.Batch{First: first, Next: first + int64(len(records)), Records: slices.Clone(records[start:])}, nil
 }
 
 // fakeMesh carries calls between acquirers in one process; lost calls reach the peer but their answers do not return.
--- a/claim/load_test.go
+++ b/claim/load_test.go
@@ -10,7 +10,7 @@
 
 	"papayacroft/claim"
 	"papayacroft/inventory"
-	"papayacroft/platform"
+	"papayacroft/provider"
 	"papayacroft/standin"
 )
 
@@ -25,7 +25,7 @@
 }
 
 // fillShards puts records with claims on every shard.
-func fillShards(tb testing.TB, log *platform.HTTPLog, records int) {
+func fillShards(tb testing.TB, log *provider.HTTPLog, records int) {
 	tb.Helper()
 	for range records {
 		var rec claim.Record
@@ -50,7 +50,7 @@
 func BenchmarkFreshWriter(b *testing.B) {
 	server := httptest.NewServer(standin.NewLog(1 << 30).Handler())
 	defer server.Close()
-	log := platform.NewHTTPLog(server.URL)
+	log := provider.NewHTTPLog(server.URL)
 	fillShards(b, log, shardRecords)
 	for b.Loop() {
 		acq := claim.NewAcquirer(log, "entry-2", "127.0.0.1:2")
--- a/claim/table.go
+++ b/claim/table.go
@@ -7,7 +7,7 @@
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 // tableLifetime is how long a claim is kept: until its key has expired on every VM whose clock is less than 5 min off.
@@ -48,7 +48,7 @@
 }
 
 // Apply takes in one record; records that were applied before or are too old to matter are passed over.
-func (tab *Table) Apply(now time.Time, rec platform.Record) {
+func (tab *Table) Apply(now time.Time, rec provider.Record) {
 	if rec.Offset < tab.Next {
 		return
 	}
--- a/claim/table_test.go
+++ b/claim/table_test.go
@@ -11,7 +11,7 @@
 	"go.yaml.in/yaml/v3"
 	"pgregory.net/rapid"
 
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 // testNow is the log's time of all test records.
@@ -22,7 +22,7 @@
 func testKey(name string) string { return fmt.Sprintf("%032x", name) }
 
 // testRecord reads "id key body replaces" claims that are separated by slashes.
-func testRecord(t testing.TB, offset int64, text string) platform.Record {
+func testRecord(t testing.TB, offset int64, text string) provider.Record {
 	var rec Record
 	for one := range strings.SplitSeq(text, "/") {
 		fields := strings.Fields(one)
@@ -36,7 +36,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return platform.Record{Offset: offset, At: testNow, Body: body}
+	return provider.Record{Offset: offset, At: testNow, Body: body}
 }
 
 // Guards against two claims of one key that both count as the winner.
@@ -57,14 +57,14 @@
 		t.Run(tst.Name, func(t *testing.T) {
 			tab := NewTable()
 			for i, text := range tst.Records {
-				rec := platform.Record{Offset: int64(i + 1), At: testNow, Body: []byte(text)}
+				rec := provider.Record{Offset: int64(i + 1), At: testNow, Body: []byte(text)}
 				if text != "not a record" {
 					rec = testRecord(t, int64(i+1), text)
 				}
 				tab.Apply(testNow, rec)
 				tab.Apply(testNow, rec)
 			}
-			tab.Apply(testNow, platform.Record{Offset: 1, At: testNow})
+			tab.Apply(testNow, provider.Record{Offset: 1, At: testNow})
 			if want := int64(len(tst.Records) + 1); tab.Next != want {
 				t.Errorf("got next offset %d after an old record; want %d", tab.Next, want)
 			}
@@ -110,7 +110,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		whole, pieces := NewTable(), NewTable()
 		histories := map[string]*holderHistory{"0": {former: map[string]bool{}}, "1": {former: map[string]bool{}}}
-		var records []platform.Record
+		var records []provider.Record
 		for offset := int64(1); offset <= int64(rapid.IntRange(1, 30).Draw(rt, "records")); offset++ {
 			key, text := drawClaim(rt)
 			rec := testRecord(t, offset, text)
--- a/claim/votes_test.go
+++ b/claim/votes_test.go
@@ -18,7 +18,7 @@
 	"papayacroft/inventory"
 	"papayacroft/membership"
 	"papayacroft/peer"
-	"papayacroft/platform"
+	"papayacroft/provider"
 	"papayacroft/standin"
 )
 
@@ -85,7 +85,7 @@
 func measureVotes(b *testing.B, perSecond float64) {
 	server := httptest.NewServer(standin.NewLog(400).Handler())
 	defer server.Close()
-	log := &countingLog{Log: platform.NewHTTPLog(server.URL)}
+	log := &countingLog{Log: provider.NewHTTPLog(server.URL)}
 	acquirers := startAcquirers(b, log)
 	var mutex sync.Mutex
 	var latencies []time.Duration
--- a/claim/writer.go
+++ b/claim/writer.go
@@ -7,7 +7,7 @@
 
 	"github.com/gravitational/trace"
 
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 const (
@@ -24,7 +24,7 @@
 // Log is the part of the platform's log that claims need.
 type Log interface {
 	Append(ctx context.Context, stream string, body []byte) (int64, error)
-	ReadPage(ctx context.Context, stream string, from int64, wait time.Duration) (platform.Batch, error)
+	ReadPage(ctx context.Context, stream string, from int64, wait time.Duration) (provider.Batch, error)
 }
 
 // writer puts claims of one shard on the log, many in one record and one append at a time.
@@ -196,7 +196,7 @@
 	}
 }
 
-func (wri *writer) apply(now time.Time, bat platform.Batch) int64 {
+func (wri *writer) apply(now time.Time, bat provider.Batch) int64 {
 	wri.mutex.Lock()
 	defer wri.mutex.Unlock()
 	for _, rec := range bat.Records {
--- a/configuration/cost_test.go
+++ b/configuration/cost_test.go
@@ -6,7 +6,7 @@
 	"testing"
 
 	"papayacroft/inventory"
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 // largeConfiguration has organisations with three teams each, 16 owners that approve them, and one endpoint per six organisations.
@@ -61,7 +61,7 @@
 				if err != nil {
 					b.Fatal(err)
 				}
-				if changed, err := sta.Apply(platform.Record{Offset: offset, Body: body}); !changed || err != nil {
+				if changed, err := sta.Apply(provider.Record{Offset: offset, Body: body}); !changed || err != nil {
 					b.Fatalf("got changed %t, error %v; want a new version", changed, err)
 				}
 				sta.Index()
--- a/configuration/cover.go
+++ b/configuration/cover.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 // publishesPerSnapshot is the least number of publishes between two snapshots.
@@ -31,7 +31,7 @@
 	size    int
 }
 
-func (cov *cover) record(rec platform.Record, publish bool) {
+func (cov *cover) record(rec provider.Record, publish bool) {
 	cov.records = append(cov.records, mark{rec.Offset, rec.At, publish, len(rec.Body)})
 	if publish {
 		cov.publishes++
--- a/configuration/cover_test.go
+++ b/configuration/cover_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 // Guards against snapshots of a large configuration that every daemon reads far more often than publishes call for.
@@ -25,7 +25,7 @@
 			sta := NewState()
 			sta.cover.snapshot(1, now, tst.snapshotSize)
 			for i := range tst.count {
-				sta.cover.record(platform.Record{Offset: int64(i + 1), At: now, Body: make([]byte, tst.size)}, true)
+				sta.cover.record(provider.Record{Offset: int64(i + 1), At: now, Body: make([]byte, tst.size)}, true)
 			}
 			if got := sta.SnapshotDue(now, 24*time.Hour); got != tst.want {
 				t.Errorf("got due %t after %d publishes; want %t", got, tst.count, tst.want)
--- a/configuration/model_test.go
+++ b/configuration/model_test.go
@@ -7,13 +7,13 @@
 	"time"
 
 	"papayacroft/inventory"
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 // modelLog is a log stream in memory with a clock of its own.
 type modelLog struct {
 	first   int64
-	records []platform.Record
+	records []provider.Record
 	now     time.Time
 }
 
@@ -26,7 +26,7 @@
 }
 
 func (log *modelLog) append(body []byte) {
-	log.records = append(log.records, platform.Record{Offset: log.next(), At: log.now, Body: body})
+	log.records = append(log.records, provider.Record{Offset: log.next(), At: log.now, Body: body})
 }
 
 func (log *modelLog) appendRecord(rec *Record) {
@@ -54,7 +54,7 @@
 
 // read brings a node up to an offset, or to the end if it is 0.
 func (log *modelLog) read(sta *State, to int64) []error {
-	bat := platform.Batch{First: log.first, Next: log.next()}
+	bat := provider.Batch{First: log.first, Next: log.next()}
 	for _, rec := range log.records {
 		if rec.Offset >= sta.Next && (to == 0 || rec.Offset <= to) {
 			bat.Records = append(bat.Records, rec)
--- a/configuration/record_fuzz_test.go
+++ b/configuration/record_fuzz_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 // FuzzParseRecord guards against log records that crash a daemon, or that only some daemons can read.
@@ -29,6 +29,6 @@
 		if _, err := ParseRecord(data); err != nil {
 			t.Fatalf("got %v for a record that was read and written", err)
 		}
-		_, _ = NewState().Apply(platform.Record{Offset: 1, At: time.Unix(1, 0), Body: body})
+		_, _ = NewState().Apply(provider.Record{Offset: 1, At: time.Unix(1, 0), Body: body})
 	})
 }
--- a/configuration/state.go
+++ b/configuration/state.go
@@ -8,7 +8,7 @@
 
 	"papayacroft/finding"
 	"papayacroft/inventory"
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 const (
@@ -72,7 +72,7 @@
 
 // pendingRecord is a record that waits for a snapshot; the body of one that isn't a publish is dropped.
 type pendingRecord struct {
-	platform.Record
+	provider.Record
 	publish bool
 }
 
@@ -102,7 +102,7 @@
 
 // ApplyBatch judges the records that a read from an offset returned and reports whether the version changed.
 // Records that can't be read are passed over alike by all daemons; their errors are returned.
-func (sta *State) ApplyBatch(asked int64, bat platform.Batch) (bool, []error) {
+func (sta *State) ApplyBatch(asked int64, bat provider.Batch) (bool, []error) {
 	if asked > sta.Next {
 		return false, nil
 	}
@@ -139,7 +139,7 @@
 
 // Apply judges one record and reports whether the version changed.
 // Every daemon that applies the same records in offset order reaches the same version.
-func (sta *State) Apply(rec platform.Record) (bool, error) {
+func (sta *State) Apply(rec provider.Record) (bool, error) {
 	if rec.Offset < sta.Next {
 		return false, nil
 	}
@@ -149,7 +149,7 @@
 	return sta.Current.Number != before, trace.Wrap(err, "record at offset %d", rec.Offset)
 }
 
-func (sta *State) applyNext(rec platform.Record) error {
+func (sta *State) applyNext(rec provider.Record) error {
 	parsed, err := ParseRecord(rec.Body)
 	publish := err == nil && parsed.Publish != nil
 	if sta.Behind() {
@@ -173,7 +173,7 @@
 	}
 }
 
-func (sta *State) applySnapshot(rec platform.Record, snp *Snapshot) error {
+func (sta *State) applySnapshot(rec provider.Record, snp *Snapshot) error {
 	if snp.ReadTo > rec.Offset || snp.Version < 0 {
 		return trace.BadParameter("snapshot of version %d, read to offset %d, can't be right", snp.Version, snp.ReadTo)
 	}
@@ -243,7 +243,7 @@
 	return first
 }
 
-func (sta *State) applyPublish(rec platform.Record, pub *Publish) error {
+func (sta *State) applyPublish(rec provider.Record, pub *Publish) error {
 	if _, ok := sta.Outcome(pub.PublishID); ok {
 		return nil
 	}
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -10,7 +10,7 @@
 	"papayacroft/configuration"
 	"papayacroft/inventory"
 	"papayacroft/membership"
-	"papayacroft/platform"
+	"papayacroft/provider"
 	"papayacroft/routing"
 )
 
@@ -107,7 +107,7 @@
 	}
 	var names []string
 	for _, vmm := range snp.VMs {
-		if vmm.State == platform.VMLive && !known[vmm.Name] {
+		if vmm.State == provider.VMLive && !known[vmm.Name] {
 			names = append(names, vmm.Name)
 		}
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,8 +18,8 @@
 	"papayacroft/entry"
 	"papayacroft/metrics"
 	"papayacroft/peer"
-	"papayacroft/platform"
 	"papayacroft/position"
+	"papayacroft/provider"
 	"papayacroft/routing"
 	"papayacroft/settings"
 )
@@ -47,7 +47,7 @@
 	peers       *peer.Server
 	peerClient  *peer.Client
 	metrics     *metrics.Metrics
-	log         *platform.HTTPLog
+	log         *provider.HTTPLog
 	gossip      *gossip
 	// tasks run in the background until the daemon stops.
 	tasks []func(ctx context.Context)
@@ -96,7 +96,7 @@
 }
 
 func (dmn *Daemon) build(key []byte) {
-	dmn.log = platform.NewHTTPLog(dmn.Settings.Platform.LogURL)
+	dmn.log = provider.NewHTTPLog(dmn.Settings.Platform.LogURL)
 	dmn.loop = blackboard.NewLoop()
 	dmn.tracker = routing.NewTracker()
 	dmn.peers = peer.NewServer()
--- a/daemon/feed.go
+++ b/daemon/feed.go
@@ -8,7 +8,7 @@
 
 	"papayacroft/blackboard"
 	"papayacroft/configuration"
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 const (
@@ -19,7 +19,7 @@
 
 // followLog hands the records of the configuration stream to the control goroutine.
 func (dmn *Daemon) followLog(ctx context.Context) {
-	log := platform.NewHTTPLog(dmn.Settings.Platform.LogURL)
+	log := provider.NewHTTPLog(dmn.Settings.Platform.LogURL)
 	pauses := backoff.NewExponentialBackOff()
 	pauses.InitialInterval, pauses.MaxInterval = 50*time.Millisecond, maxLogPause
 	var asked int64
@@ -42,7 +42,7 @@
 
 // followVMs hands the platform's list to the control goroutine.
 func (dmn *Daemon) followVMs(ctx context.Context) {
-	list := platform.NewHTTPVMList(dmn.Settings.Platform.VMsURL)
+	list := provider.NewHTTPVMList(dmn.Settings.Platform.VMsURL)
 	for ctx.Err() == nil {
 		vms, err := list.VMs(ctx)
 		if err != nil {
--- a/daemon/leases.go
+++ b/daemon/leases.go
@@ -11,7 +11,7 @@
 	"papayacroft/blackboard"
 	"papayacroft/lease"
 	"papayacroft/membership"
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 const (
@@ -46,7 +46,7 @@
 }
 
 func newLeaser(dmn *Daemon) *leaser {
-	log := platform.NewHTTPLog(dmn.Settings.Platform.LogURL)
+	log := provider.NewHTTPLog(dmn.Settings.Platform.LogURL)
 	return &leaser{
 		keeper:   lease.NewKeeper(log, dmn.incarnation, time.Duration(dmn.Settings.Platform.LogRetention)),
 		name:     dmn.Settings.Name,
@@ -182,7 +182,7 @@
 	}
 	var names []string
 	for _, vmc := range snp.VMs {
-		if vmc.State == platform.VMLive && !out[vmc.Name] {
+		if vmc.State == provider.VMLive && !out[vmc.Name] {
 			names = append(names, vmc.Name)
 		}
 	}
--- a/daemon/leases_test.go
+++ b/daemon/leases_test.go
@@ -20,7 +20,7 @@
 	"papayacroft/inventory"
 	"papayacroft/lease"
 	"papayacroft/membership"
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 // leasePeriod is the simulated time over which the bytes of leases are counted.
@@ -38,7 +38,7 @@
 // fakeLog is a log in memory that counts what each of its readers receives.
 type fakeLog struct {
 	mutex   sync.Mutex
-	streams map[string][]platform.Record
+	streams map[string][]provider.Record
 	// changed holds, for each stream that someone waits for, a channel that the next append closes.
 	changed map[string]chan struct{}
 }
@@ -59,7 +59,7 @@
 		return 0, errLogDown
 	}
 	offset := int64(len(rlg.streams[stream])) + 1
-	rlg.streams[stream] = append(rlg.streams[stream], platform.Record{Offset: offset, At: time.Now(), Body: body})
+	rlg.streams[stream] = append(rlg.streams[stream], provider.Record{Offset: offset, At: time.Now(), Body: body})
 	if changed, ok := rlg.changed[stream]; ok {
 		close(changed)
 		delete(rlg.changed, stream)
@@ -68,7 +68,7 @@
 }
 
 // Read returns the records from an offset on, waiting up to the given time for the first.
-func (rlg *readerLog) Read(ctx context.Context, stream string, from int64, wait time.Duration) (platform.Batch, error) {
+func (rlg *readerLog) Read(ctx context.Context, stream string, from int64, wait time.Duration) (provider.Batch, error) {
 	bat, changed, off := rlg.read(stream, from)
 	if len(bat.Records) == 0 && wait > 0 && !off {
 		tmr := time.NewTimer(wait)
@@ -81,7 +81,7 @@
 		bat, _, off = rlg.read(stream, from)
 	}
 	if off {
-		return platform.Batch{}, errLogDown
+		return provider.Batch{}, errLogDown
 	}
 	data, err := json.Marshal(bat)
 	rlg.mutex.Lock()
@@ -90,14 +90,14 @@
 	return bat, err
 }
 
-func (rlg *readerLog) read(stream string, from int64) (platform.Batch, <-chan struct{}, bool) {
+func (rlg *readerLog) read(stream string, from int64) (provider.Batch, <-chan struct{}, bool) {
 	rlg.mutex.Lock()
 	defer rlg.mutex.Unlock()
 	next := int64(len(rlg.streams[stream])) + 1
 	if rlg.changed[stream] == nil {
 		rlg.changed[stream] = make(chan struct{})
 	}
-	return platform.Batch{First: 1, Next: next, Records: rlg.streams[stream][min(max(from, 1), next)-1:]}, rlg.changed[stream], rlg.off
+	return provider.Batch{First: 1, Next: next, Records: rlg.streams[stream][min(max(from, 1), next)-1:]}, rlg.changed[stream], rlg.off
 }
 
 // fleet is a number of daemons that keep the leases of some pools.
@@ -111,16 +111,16 @@
 }
 
 func newFleet(daemons, pools int) *fleet {
-	flt := &fleet{log: &fakeLog{streams: map[string][]platform.Record{}, changed: map[string]chan struct{}{}}, gone: map[string]bool{}}
+	flt := &fleet{log: &fakeLog{streams: map[string][]provider.Record{}, changed: map[string]chan struct{}{}}, gone: map[string]bool{}}
 	cfg := &inventory.Configuration{Pools: map[string]inventory.Pool{}}
 	for i := range pools {
 		flt.pools = append(flt.pools, fmt.Sprintf("pool-%d", i))
 		cfg.Pools[flt.pools[i]] = inventory.Pool{Name: flt.pools[i], Kind: inventory.PoolKindEngine}
 	}
 	idx := inventory.NewIndex(cfg)
-	var vms []platform.VM
+	var vms []provider.VM
 	for i := range daemons {
-		vms = append(vms, platform.VM{Name: fmt.Sprintf("entry-%d", i), State: platform.VMLive})
+		vms = append(vms, provider.VM{Name: fmt.Sprintf("entry-%d", i), State: provider.VMLive})
 	}
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
--- a/daemon/leaving.go
+++ b/daemon/leaving.go
@@ -14,7 +14,7 @@
 	"papayacroft/endpoint"
 	"papayacroft/inventory"
 	"papayacroft/membership"
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 const (
@@ -132,7 +132,7 @@
 func (wat *leavingWatch) checkList(now time.Time, snp *blackboard.Snapshot) {
 	leaving := map[string]bool{}
 	for _, vmm := range snp.VMs {
-		if vmm.State != platform.VMLeaving {
+		if vmm.State != provider.VMLeaving {
 			continue
 		}
 		for name, edp := range snp.Index.Configuration.Endpoints {
--- a/daemon/placement.go
+++ b/daemon/placement.go
@@ -12,7 +12,7 @@
 	"papayacroft/inventory"
 	"papayacroft/lease"
 	"papayacroft/placement"
-	"papayacroft/platform"
+	"papayacroft/provider"
 	"papayacroft/routing"
 )
 
@@ -64,7 +64,7 @@
 	}
 	dmn.entry.OnModelAsked = plc.asked.Count
 	if url := dmn.Settings.Platform.WeightsURL; url != "" {
-		plc.store = platform.NewHTTPWeightStore(url)
+		plc.store = provider.NewHTTPWeightStore(url)
 	}
 	dmn.tasks = append(dmn.tasks, lsr.follow, lsr.watch, lsr.keep, plc.run)
 }
--- a/entry/claimed_test.go
+++ b/entry/claimed_test.go
@@ -18,7 +18,7 @@
 	"papayacroft/document"
 	"papayacroft/endpoint"
 	"papayacroft/inventory"
-	"papayacroft/platform"
+	"papayacroft/provider"
 	"papayacroft/routing"
 	"papayacroft/standin"
 )
@@ -44,7 +44,7 @@
 	srv := NewServer()
 	srv.Board = fixedBoard{&blackboard.Snapshot{Index: inventory.NewIndex(cfg)}}
 	srv.Tracker, srv.Endpoints, srv.Logger = routing.NewTracker(), endpoint.NewClient(), logger
-	srv.Claims = claim.NewAcquirer(platform.NewHTTPLog(log.URL), "one", "one")
+	srv.Claims = claim.NewAcquirer(provider.NewHTTPLog(log.URL), "one", "one")
 	srv.BuildAdmission()
 	return srv
 }
@@ -124,7 +124,7 @@
 		},
 		"noConfiguration": func(srv *Server) { srv.Board = fixedBoard{&blackboard.Snapshot{}} },
 		"claimUnavailable": func(srv *Server) {
-			srv.Claims = claim.NewAcquirer(platform.NewHTTPLog("http://127.0.0.1:1"), "one", "one")
+			srv.Claims = claim.NewAcquirer(provider.NewHTTPLog("http://127.0.0.1:1"), "one", "one")
 		},
 	}
 	for code, breakServer := range tests {
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -7,7 +7,7 @@
 
 	"github.com/gravitational/trace"
 
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 const (
@@ -23,7 +23,7 @@
 // Log is the part of the platform's log that leases need.
 type Log interface {
 	Append(ctx context.Context, stream string, body []byte) (int64, error)
-	Read(ctx context.Context, stream string, from int64, wait time.Duration) (platform.Batch, error)
+	Read(ctx context.Context, stream string, from int64, wait time.Duration) (provider.Batch, error)
 }
 
 // Keeper takes, renews and checks leases for one holder.
--- a/lease/keeper_test.go
+++ b/lease/keeper_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/gravitational/trace"
 
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 // retention is what the platform's log keeps unless a test says otherwise.
@@ -16,7 +16,7 @@
 
 // memoryLog is a log that may lose the answer of an append or be down.
 type memoryLog struct {
-	streams    map[string][]platform.Record
+	streams    map[string][]provider.Record
 	loseAnswer bool
 	down       bool
 }
@@ -27,10 +27,10 @@
 		return 0, trace.ConnectionProblem(nil, "log is down")
 	}
 	if mlg.streams == nil {
-		mlg.streams = map[string][]platform.Record{}
+		mlg.streams = map[string][]provider.Record{}
 	}
 	offset := int64(len(mlg.streams[stream])) + 1
-	mlg.streams[stream] = append(mlg.streams[stream], platform.Record{Offset: offset, At: time.Now(), Body: body})
+	mlg.streams[stream] = append(mlg.streams[stream], provider.Record{Offset: offset, At: time.Now(), Body: body})
 	if mlg.loseAnswer {
 		return 0, trace.ConnectionProblem(nil, "answer lost")
 	}
@@ -38,12 +38,12 @@
 }
 
 // Read returns the records from an offset on.
-func (mlg *memoryLog) Read(_ context.Context, stream string, from int64, _ time.Duration) (platform.Batch, error) {
+func (mlg *memoryLog) Read(_ context.Context, stream string, from int64, _ time.Duration) (provider.Batch, error) {
 	if mlg.down {
-		return platform.Batch{}, trace.ConnectionProblem(nil, "log is down")
+		return provider.Batch{}, trace.ConnectionProblem(nil, "log is down")
 	}
 	next := int64(len(mlg.streams[stream])) + 1
-	return platform.Batch{First: 1, Next: next, Records: mlg.streams[stream][min(max(from, 1), next)-1:]}, nil
+	return provider.Batch{First: 1, Next: next, Records: mlg.streams[stream][min(max(from, 1), next)-1:]}, nil
 }
 
 func follow(t *testing.T, keepers ...*Keeper) {
--- a/lease/machine_test.go
+++ b/lease/machine_test.go
@@ -9,7 +9,7 @@
 
 	"pgregory.net/rapid"
 
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 // machineSeeds is the number of runs that compare leases with and without the margin.
@@ -34,7 +34,7 @@
 	table       *Table
 	reading     bool
 	readStart   time.Time
-	batch       platform.Batch
+	batch       provider.Batch
 	ordering    bool
 	token       int64
 	checkedAt   time.Time
@@ -46,7 +46,7 @@
 // machine runs two parties that order one engine, on a log that each may be cut off from and lost answers.
 type machine struct {
 	now         time.Time
-	records     []platform.Record
+	records     []provider.Record
 	checksFence bool
 	parties     [2]*party
 	// highest is the greatest token whose order took effect.
@@ -126,7 +126,7 @@
 	}
 }
 
-func (mac *machine) read(from int64) platform.Batch {
+func (mac *machine) read(from int64) provider.Batch {
 	first := int64(1)
 	for _, rec := range mac.records {
 		if mac.now.Sub(rec.At) > machineRetention {
@@ -134,7 +134,7 @@
 		}
 	}
 	next := int64(len(mac.records)) + 1
-	return platform.Batch{First: first, Next: next, Records: mac.records[min(max(from, first), next)-1:]}
+	return provider.Batch{First: first, Next: next, Records: mac.records[min(max(from, first), next)-1:]}
 }
 
 // take also appends while a lease runs, as a daemon does that suspects a holder which is cut off.
@@ -150,7 +150,7 @@
 	if err != nil {
 		panic(err)
 	}
-	mac.records = append(mac.records, platform.Record{Offset: int64(len(mac.records)) + 1, At: mac.now, Body: body})
+	mac.records = append(mac.records, provider.Record{Offset: int64(len(mac.records)) + 1, At: mac.now, Body: body})
 }
 
 func (mac *machine) other(pty *party) *party {
@@ -277,7 +277,7 @@
 // Guards against a lease that is taken by a daemon that did not know of the last one.
 func TestFirstInOffsetOrderWins(t *testing.T) {
 	tab := NewTable(retention)
-	var bat platform.Batch
+	var bat provider.Batch
 	for i, rec := range []Record{
 		{Pool: "llm", Holder: "one", BasedOn: None},
 		{Pool: "llm", Holder: "two", BasedOn: None},
@@ -288,7 +288,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		bat.Records = append(bat.Records, platform.Record{Offset: int64(i + 1), At: time.Unix(1000, 0), Body: body})
+		bat.Records = append(bat.Records, provider.Record{Offset: int64(i + 1), At: time.Unix(1000, 0), Body: body})
 	}
 	bat.First, bat.Next = 1, 5
 	now := time.Unix(1000, 0)
@@ -314,7 +314,7 @@
 			b.Fatal(err)
 		}
 		offset := int64(i + 1)
-		tab.Apply(now, now, platform.Batch{First: 1, Next: offset + 1, Records: []platform.Record{{Offset: offset, Body: body}}})
+		tab.Apply(now, now, provider.Batch{First: 1, Next: offset + 1, Records: []provider.Record{{Offset: offset, Body: body}}})
 		base[pool] = offset
 	}
 }
--- a/lease/table.go
+++ b/lease/table.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 const (
@@ -99,7 +99,7 @@
 }
 
 // Apply takes in a batch whose read began at start; now is the time at which it was complete.
-func (tab *Table) Apply(start, now time.Time, bat platform.Batch) {
+func (tab *Table) Apply(start, now time.Time, bat provider.Batch) {
 	// Offsets start at 1 or 0 by the log's choice; anything above means that records have expired.
 	if bat.First > max(tab.Next, 1) {
 		tab.gap, tab.knownFrom = true, start.Add(-tab.retention/2)
@@ -117,7 +117,7 @@
 	tab.Next = max(tab.Next, bat.Next)
 }
 
-func (tab *Table) applyRecord(now time.Time, rec platform.Record) {
+func (tab *Table) applyRecord(now time.Time, rec provider.Record) {
 	parsed, err := ParseRecord(rec.Body)
 	if err != nil {
 		return
@@ -142,7 +142,7 @@
 }
 
 // accepts notes a record and reports whether it takes or refreshes the lease.
-func (tab *Table) accepts(pol *poolRecords, rec platform.Record, basedOn int64) bool {
+func (tab *Table) accepts(pol *poolRecords, rec provider.Record, basedOn int64) bool {
 	based, others := pol.note(rec, basedOn, tab.voidAfter())
 	switch {
 	case pol.held && rec.At.Sub(pol.lease.At) < tab.voidAfter():
@@ -157,7 +157,7 @@
 }
 
 // note keeps a record, reports whether it is based on one that still counts, and whether there are any that still count.
-func (pol *poolRecords) note(rec platform.Record, basedOn int64, voidAfter time.Duration) (based, others bool) {
+func (pol *poolRecords) note(rec provider.Record, basedOn int64, voidAfter time.Duration) (based, others bool) {
 	pol.recent = slices.DeleteFunc(pol.recent, func(base baseRecord) bool { return rec.At.Sub(base.at) >= voidAfter })
 	based = slices.ContainsFunc(pol.recent, func(base baseRecord) bool { return base.offset == basedOn })
 	others = len(pol.recent) > 0
--- a/lease/watch.go
+++ b/lease/watch.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 // watch follows the renewals of one pool.
@@ -23,7 +23,7 @@
 }
 
 // apply takes in a batch whose read began at start; now is the time at which it was complete.
-func (wat *watch) apply(start, now time.Time, bat platform.Batch) {
+func (wat *watch) apply(start, now time.Time, bat provider.Batch) {
 	if wat.since.IsZero() {
 		wat.since = now
 	}
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 const (
@@ -40,7 +40,7 @@
 	rnd          *rand.Rand
 	nodes        []*fleetNode
 	index        map[string]*fleetNode
-	vms          []platform.VM
+	vms          []provider.VM
 	cut          func(one, other *fleetNode) bool
 	// interval is the time between two exchanges of a node.
 	interval time.Duration
@@ -62,7 +62,7 @@
 			domain: domain, region: domain % fleetRegions,
 		}
 		flt.nodes, flt.index[node.name] = append(flt.nodes, node), node
-		flt.vms = append(flt.vms, platform.VM{Name: node.name, Address: node.address, State: platform.VMLive})
+		flt.vms = append(flt.vms, provider.VM{Name: node.name, Address: node.address, State: provider.VMLive})
 	}
 	for _, node := range flt.nodes {
 		flt.start(node)
--- a/membership/table.go
+++ b/membership/table.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 const (
@@ -73,7 +73,7 @@
 }
 
 type vmEntry struct {
-	platform.VM
+	provider.VM
 	// leavingIncarnation is the one that lived when the list first said that the VM is leaving.
 	leavingIncarnation string
 }
@@ -123,11 +123,11 @@
 }
 
 // SetVMs takes in the platform's list.
-func (tab *Table) SetVMs(vms []platform.VM) {
+func (tab *Table) SetVMs(vms []provider.VM) {
 	next := make(map[string]vmEntry, len(vms))
 	for _, vmm := range vms {
 		ent := vmEntry{VM: vmm}
-		if vmm.State == platform.VMLeaving {
+		if vmm.State == provider.VMLeaving {
 			ent.leavingIncarnation = tab.vms[vmm.Name].leavingIncarnation
 			if rec, ok := tab.members[vmm.Name]; ok && ent.leavingIncarnation == "" {
 				ent.leavingIncarnation = rec.Incarnation
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -9,7 +9,7 @@
 	"testing/synctest"
 	"time"
 
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 // network runs tables that exchange once a second, as daemons do, in the time of a synctest bubble.
@@ -22,9 +22,9 @@
 
 func newNetwork(count int) *network {
 	net := &network{rnd: rand.New(rand.NewPCG(7, 11)), tables: map[string]*Table{}, down: map[string]bool{}}
-	var vms []platform.VM
+	var vms []provider.VM
 	for i := range count {
-		vms = append(vms, platform.VM{Name: fmt.Sprintf("entry-%d", i), Address: fmt.Sprintf("10.0.0.%d:9400", i), State: platform.VMLive})
+		vms = append(vms, provider.VM{Name: fmt.Sprintf("entry-%d", i), Address: fmt.Sprintf("10.0.0.%d:9400", i), State: provider.VMLive})
 	}
 	for _, vmm := range vms {
 		net.start(vmm.Name, vmm.Address)
@@ -131,11 +131,11 @@
 		net.run(10)
 		want(t, "tables with entry-2 live without the list", net.counts("entry-2", StateLive), 3)
 		net.start("entry-9", "10.0.0.9:9400")
-		net.tables["entry-9"].SetVMs([]platform.VM{{Name: "entry-1", Address: "10.0.0.1:9400", State: platform.VMLive}})
+		net.tables["entry-9"].SetVMs([]provider.VM{{Name: "entry-1", Address: "10.0.0.1:9400", State: provider.VMLive}})
 		net.run(10)
 		want(t, "tables with entry-9 live", net.counts("entry-9", StateLive), 4)
 
-		list := []platform.VM{{Name: "entry-2", Address: "10.0.0.2:9400", State: platform.VMLeaving}}
+		list := []provider.VM{{Name: "entry-2", Address: "10.0.0.2:9400", State: provider.VMLeaving}}
 		net.tables["entry-0"].SetVMs(list)
 		want(t, "tables with entry-2 leaving by the list", net.counts("entry-2", StateLeaving), 1)
 		net.start("entry-2", "10.0.0.2:9400")
--- a/papayacroft/cmd_publish.go
+++ b/papayacroft/cmd_publish.go
@@ -13,7 +13,7 @@
 
 	"papayacroft/configuration"
 	"papayacroft/inventory"
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 const (
@@ -134,12 +134,12 @@
 	if err != nil {
 		return appendResult{err: err, notSent: true}
 	}
-	log := platform.NewHTTPLog(pub.options.logURL)
+	log := provider.NewHTTPLog(pub.options.logURL)
 	err = appendOnce(ctx, log, body)
 	if err == nil {
 		return appendResult{}
 	}
-	if platform.NotSent(err) {
+	if provider.NotSent(err) {
 		return appendResult{err: err, notSent: true}
 	}
 	if rec.Publish == nil {
@@ -161,7 +161,7 @@
 	notSent bool
 }
 
-func appendOnce(ctx context.Context, log *platform.HTTPLog, body []byte) error {
+func appendOnce(ctx context.Context, log *provider.HTTPLog, body []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	_, err := log.Append(ctx, configuration.Stream, body)
@@ -169,7 +169,7 @@
 }
 
 // findPublish looks for a publish on the log from an offset to the end.
-func findPublish(ctx context.Context, log *platform.HTTPLog, from int64, publishID string) (bool, error) {
+func findPublish(ctx context.Context, log *provider.HTTPLog, from int64, publishID string) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	for {
--- a/papayacroft/restore.go
+++ b/papayacroft/restore.go
@@ -10,7 +10,7 @@
 
 	"papayacroft/configuration"
 	"papayacroft/inventory"
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 // restore appends a snapshot of a configuration when no daemon holds the records that expired.
@@ -25,7 +25,7 @@
 		}
 		held = append(held, configuration.Held{Version: row.Status.Version, Offset: row.Status.Offset, Outcomes: row.Status.Outcomes})
 	}
-	end, err := logEnd(ctx, platform.NewHTTPLog(pub.options.logURL))
+	end, err := logEnd(ctx, provider.NewHTTPLog(pub.options.logURL))
 	if err != nil {
 		return trace.Wrap(err, "nothing was published, because the log can't be read")
 	}
@@ -45,7 +45,7 @@
 }
 
 // logEnd returns the offset after the last record of the configuration stream.
-func logEnd(ctx context.Context, log *platform.HTTPLog) (int64, error) {
+func logEnd(ctx context.Context, log *provider.HTTPLog) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	var from int64
--- a/platform/http.go
+++ b/provider/http.go
@@ -1,4 +1,4 @@
-package platform
+package provider
 
 import (
 	"bytes"
--- a/platform/http_test.go
+++ b/provider/http_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package provider_test
 
 import (
 	"bytes"
@@ -6,7 +6,7 @@
 	"net/http/httptest"
 	"testing"
 
-	"papayacroft/platform"
+	"papayacroft/provider"
 	"papayacroft/standin"
 )
 
@@ -20,7 +20,7 @@
 		handler.ServeHTTP(wri, req)
 	}))
 	defer server.Close()
-	log := platform.NewHTTPLog(server.URL)
+	log := provider.NewHTTPLog(server.URL)
 	log.PageBytes = 2500
 	const records = 10
 	for number := range records {
--- a/platform/platform.go
+++ b/provider/provider.go
@@ -1,5 +1,5 @@
-// Package platform reaches the services that the platform runs: the log, the VM list and the weight store.
-package platform
+// Package provider reaches the services that the platform runs: the log, the VM list and the weight store.
+package provider
 
 import (
 	"context"
--- a/test/orders_test.go
+++ b/test/orders_test.go
@@ -10,7 +10,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"papayacroft/lease"
-	"papayacroft/platform"
+	"papayacroft/provider"
 )
 
 // scriptFence marks the orders that a script sends itself.
@@ -34,7 +34,7 @@
 	defer res.Body.Close()
 	var orders []engineOrder
 	ts.Check(json.NewDecoder(res.Body).Decode(&orders))
-	bat, err := platform.NewHTTPLog("http://"+args[1]).Read(context.Background(), lease.Stream, 0, 0)
+	bat, err := provider.NewHTTPLog("http://"+args[1]).Read(context.Background(), lease.Stream, 0, 0)
 	ts.Check(err)
 	counted := 0
 	var last engineOrder
@@ -60,7 +60,7 @@
 }
 
 // tenureOf returns when the holder of a token first put a record on the log, and whether it is the pool's first holder.
-func tenureOf(ts *testscript.TestScript, records []platform.Record, pool string, token int64) (at time.Time, first bool) {
+func tenureOf(ts *testscript.TestScript, records []provider.Record, pool string, token int64) (at time.Time, first bool) {
 	holder, first := "", true
 	for _, rec := range records {
 		parsed, err := lease.ParseRecord(rec.Body)
