--- /dev/null
+++ b/dispatch/budget.go
@@ -0,0 +1,75 @@
+package dispatch
+
+import "time"
+
+// budgetStep is the resolution of the window in which requests and repeats are counted.
+const budgetStep = time.Second
+
+// Budget bounds the requests that are sent to a second endpoint, so that repeats never multiply an overload.
+// All daemons share one budget; each takes its own requests' part and an equal part of the fixed allowance.
+type Budget struct {
+	// Ratio is the number of repeats that each request of the window earns.
+	Ratio float64
+	// Extra is the number of repeats that all daemons together may make in a window beyond that.
+	Extra float64
+	// Window is the time over which requests and repeats are counted.
+	Window time.Duration
+	// Daemons is the number of daemons that share the budget.
+	Daemons int
+
+	services map[string]*budgetCounts
+}
+
+type budgetCounts struct {
+	steps []budgetStepCount
+}
+
+type budgetStepCount struct {
+	at                time.Time
+	requests, repeats float64
+}
+
+// NewBudget returns a budget without history.
+func NewBudget() *Budget {
+	return &Budget{Daemons: 1, services: map[string]*budgetCounts{}}
+}
+
+// Request counts a caller's request for a service.
+func (bud *Budget) Request(now time.Time, service string) {
+	bud.step(now, service).requests++
+}
+
+// Spend takes one repeat and reports whether there was one left.
+func (bud *Budget) Spend(now time.Time, service string) bool {
+	step := bud.step(now, service)
+	var requests, repeats float64
+	for _, one := range bud.services[service].steps {
+		requests += one.requests
+		repeats += one.repeats
+	}
+	if repeats+1 > bud.Ratio*requests+bud.Extra/float64(max(1, bud.Daemons)) {
+		return false
+	}
+	step.repeats++
+	return true
+}
+
+// step returns the count of the present step and drops those that left the window.
+func (bud *Budget) step(now time.Time, service string) *budgetStepCount {
+	cnt, ok := bud.services[service]
+	if !ok {
+		cnt = &budgetCounts{}
+		bud.services[service] = cnt
+	}
+	kept := cnt.steps[:0]
+	for _, one := range cnt.steps {
+		if now.Sub(one.at) <= bud.Window+budgetStep {
+			kept = append(kept, one)
+		}
+	}
+	cnt.steps = kept
+	if len(kept) == 0 || now.Sub(kept[len(kept)-1].at) >= budgetStep {
+		cnt.steps = append(kept, budgetStepCount{at: now})
+	}
+	return &cnt.steps[len(cnt.steps)-1]
+}
--- /dev/null
+++ b/dispatch/desk.go
@@ -0,0 +1,261 @@
+// Package dispatch decides which endpoint serves a request, which requests wait and which are turned away.
+// It does no input or output; its callers serialize the calls and pass the present time.
+package dispatch
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"papayacroft/catalog"
+)
+
+const (
+	// usageLifetime is how long the load that a peer told counts after its last word.
+	usageLifetime = 3 * time.Second
+	// reportLifetime is how long an endpoint's own word on its load counts.
+	reportLifetime = 2 * time.Second
+	// failureHalfLife is how fast failures are forgotten.
+	failureHalfLife = 3 * time.Second
+	// unreachablePause is how long an endpoint that took no connection is left alone.
+	unreachablePause = time.Second
+	// failureWeight makes an endpoint that fails each request as unattractive as one with that many times its slots busy.
+	failureWeight = 3.0
+	// distancePenalty prefers endpoints of the same failure domain while the loads are about equal.
+	distancePenalty = 0.04
+	// coldPenalty prefers endpoints that have not just started.
+	coldPenalty = 0.3
+	// memoryLimit is the part of an engine's memory that expected generations may fill.
+	memoryLimit = 0.95
+)
+
+// Reason says why no endpoint was chosen.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNoEndpoint Reason = "noEndpoint"
+	ReasonFull       Reason = "full"
+)
+
+// Request is what a decision needs to know of a request.
+type Request struct {
+	Service string
+	// Tokens is the memory that the request is expected to need at an engine in the end; 0 for plain services.
+	Tokens int
+	// Excluded endpoints are not considered.
+	Excluded map[string]bool
+	// Force chooses the best endpoint also if all are full.
+	Force bool
+}
+
+// Choice is the outcome of a decision.
+type Choice struct {
+	Endpoint *catalog.Endpoint
+	Reason   Reason
+	// Score is the endpoint's rating; lower values are better.
+	Score float64
+	// Considered is the number of endpoints that take work.
+	Considered int
+}
+
+// Usage is the work that a daemon has at an endpoint.
+type Usage struct {
+	Flights int `json:"flights"`
+	Tokens  int `json:"tokens,omitempty"`
+}
+
+// Report is an endpoint's own word on its load.
+type Report struct {
+	Running, Waiting int
+	At               time.Time
+	// own is the number of this daemon's flights when the report came.
+	own int
+}
+
+// Desk keeps what a daemon knows of the endpoints' load and health.
+type Desk struct {
+	FailureDomain string
+
+	endpoints map[string]*endpoint
+	peers     map[string]peerUsage
+}
+
+type endpoint struct {
+	own        Usage
+	report     Report
+	failures   float64
+	successes  float64
+	countedAt  time.Time
+	avoidUntil time.Time
+}
+
+type peerUsage struct {
+	usage map[string]Usage
+	until time.Time
+}
+
+// NewDesk returns a desk that knows nothing yet.
+func NewDesk() *Desk {
+	return &Desk{endpoints: map[string]*endpoint{}, peers: map[string]peerUsage{}}
+}
+
+// Choose rates the endpoints that take work and returns the best.
+func (dsk *Desk) Choose(now time.Time, rnd *rand.Rand, cat *catalog.Catalog, flt catalog.FleetView, req *Request) Choice {
+	choice := Choice{Reason: ReasonNoEndpoint, Score: math.Inf(1)}
+	engine := cat.Services[req.Service].Engine
+	for id, edp := range flt.Endpoints {
+		if edp.Service != req.Service || edp.State != catalog.StateReady || req.Excluded[id] {
+			continue
+		}
+		if _, leaving := flt.Leaving[id]; leaving {
+			continue
+		}
+		sta := dsk.endpoint(id)
+		if now.Before(sta.avoidUntil) {
+			continue
+		}
+		choice.Considered++
+		use := dsk.use(now, id, sta, &edp, engine, req)
+		if use > 1 && !req.Force {
+			if choice.Endpoint == nil {
+				choice.Reason = ReasonFull
+			}
+			continue
+		}
+		score := use + failureWeight*sta.failureShare(now) + rnd.Float64()*distancePenalty/2
+		if edp.FailureDomain != dsk.FailureDomain {
+			score += distancePenalty
+		}
+		if now.Before(edp.WarmAt) {
+			score += coldPenalty
+		}
+		if score < choice.Score {
+			choice.Endpoint, choice.Score = &edp, score
+		}
+	}
+	if choice.Endpoint != nil {
+		choice.Reason = ""
+	}
+	return choice
+}
+
+// use is the part of the endpoint's capacity that is taken with the request on it; 1 is full.
+func (dsk *Desk) use(now time.Time, id string, sta *endpoint, edp *catalog.Endpoint, engine *catalog.Engine, req *Request) float64 {
+	flights, tokens := sta.own.Flights, sta.own.Tokens
+	for _, per := range dsk.peers {
+		if now.Before(per.until) {
+			flights += per.usage[id].Flights
+			tokens += per.usage[id].Tokens
+		}
+	}
+	if now.Sub(sta.report.At) < reportLifetime {
+		// The report counts all daemons' work at its time; what this daemon began since comes on top.
+		flights = max(flights, sta.report.Running+sta.report.Waiting+sta.own.Flights-sta.report.own)
+	}
+	use := float64(flights+1) / float64(edp.Slots)
+	if engine != nil && engine.CapacityTokens > 0 {
+		use = max(use, float64(tokens+req.Tokens)/(memoryLimit*float64(engine.CapacityTokens)))
+	}
+	return use
+}
+
+// Begin counts a request that is sent to an endpoint.
+func (dsk *Desk) Begin(id string, tokens int) {
+	sta := dsk.endpoint(id)
+	sta.own.Flights++
+	sta.own.Tokens += tokens
+}
+
+// End counts a request that has ended at an endpoint.
+func (dsk *Desk) End(id string, tokens int) {
+	sta := dsk.endpoint(id)
+	sta.own.Flights--
+	sta.own.Tokens -= tokens
+}
+
+// Reported takes in an endpoint's own word on its load.
+func (dsk *Desk) Reported(now time.Time, id string, running, waiting int) {
+	sta := dsk.endpoint(id)
+	sta.report = Report{Running: running, Waiting: waiting, At: now, own: sta.own.Flights}
+}
+
+// Succeeded counts an answer.
+func (dsk *Desk) Succeeded(now time.Time, id string) {
+	sta := dsk.endpoint(id)
+	sta.decay(now)
+	sta.successes++
+}
+
+// Failed counts a failure; an endpoint that took no connection is left alone for a while.
+func (dsk *Desk) Failed(now time.Time, id string, unreachable bool) {
+	sta := dsk.endpoint(id)
+	sta.decay(now)
+	sta.failures++
+	if unreachable {
+		sta.avoidUntil = now.Add(unreachablePause)
+	}
+}
+
+// Peer takes in the work that another daemon has at the endpoints.
+func (dsk *Desk) Peer(now time.Time, name string, usage map[string]Usage) {
+	dsk.peers[name] = peerUsage{usage: usage, until: now.Add(usageLifetime)}
+}
+
+// Own returns the work of this daemon by endpoint.
+func (dsk *Desk) Own() map[string]Usage {
+	own := map[string]Usage{}
+	for id, sta := range dsk.endpoints {
+		if sta.own.Flights > 0 {
+			own[id] = sta.own
+		}
+	}
+	return own
+}
+
+// Forget drops what is known of endpoints that are not listed and have no work.
+func (dsk *Desk) Forget(now time.Time, flt catalog.FleetView) {
+	for id, sta := range dsk.endpoints {
+		if _, listed := flt.Endpoints[id]; !listed && sta.own.Flights == 0 {
+			delete(dsk.endpoints, id)
+		}
+	}
+	for name, per := range dsk.peers {
+		if !now.Before(per.until) {
+			delete(dsk.peers, name)
+		}
+	}
+}
+
+func (dsk *Desk) endpoint(id string) *endpoint {
+	sta, ok := dsk.endpoints[id]
+	if !ok {
+		sta = &endpoint{}
+		dsk.endpoints[id] = sta
+	}
+	return sta
+}
+
+func (sta *endpoint) decay(now time.Time) {
+	if elapsed := now.Sub(sta.countedAt); elapsed > 0 && !sta.countedAt.IsZero() {
+		factor := math.Exp2(-float64(elapsed) / float64(failureHalfLife))
+		sta.failures *= factor
+		sta.successes *= factor
+	}
+	sta.countedAt = now
+}
+
+// failureShare is the share of failures of late, taken as if one more request had succeeded.
+func (sta *endpoint) failureShare(now time.Time) float64 {
+	sta.decay(now)
+	return sta.failures / (sta.failures + sta.successes + 1)
+}
+
+// String describes the choice for the log.
+func (cho Choice) String() string {
+	if cho.Endpoint == nil {
+		return fmt.Sprintf("%s of %d endpoints", cho.Reason, cho.Considered)
+	}
+	return fmt.Sprintf("score %.2f, best of %d endpoints", cho.Score, cho.Considered)
+}
--- /dev/null
+++ b/gateway/daemon.go
@@ -0,0 +1,160 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"papayacroft/peer"
+	"papayacroft/settings"
+)
+
+const (
+	headerTimeout = 10 * time.Second
+	// idleTimeout is longer than callers reuse idle connections.
+	idleTimeout = 2 * time.Minute
+	// unreadyTime is how long after the signal the balancer may still send new connections: it asks each second
+	// and takes a daemon out after two misses.
+	unreadyTime = 2300 * time.Millisecond
+	// exitMargin is the time kept for the end of the process before the platform ends it.
+	exitMargin = 300 * time.Millisecond
+	drainPoll  = 20 * time.Millisecond
+	// heapShare is the part of the memory limit at which the garbage collector works harder.
+	heapShare = 0.6
+)
+
+// Daemon is one gateway process.
+type Daemon struct {
+	Settings *settings.Gateway
+	Logger   *logrus.Logger
+	Version  string
+	Server   *Server
+	Control  *Control
+	Exchange *Exchange
+	// Tasks run in the background until the daemon stops.
+	Tasks []func(ctx context.Context)
+
+	draining atomic.Bool
+}
+
+// NewDaemon returns a daemon that needs its exported fields set before Run.
+func NewDaemon() *Daemon {
+	return &Daemon{Server: NewServer(), Control: NewControl(), Exchange: NewExchange()}
+}
+
+// Run serves until the context ends, then finishes the requests in flight.
+func (dmn *Daemon) Run(ctx context.Context) error {
+	set := dmn.Settings
+	if set.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(set.MemoryMB) * (1 << 20)))
+	}
+	dmn.build()
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	grp, background := errgroup.WithContext(background)
+	grp.Go(func() error { dmn.Control.Run(background); return nil })
+	grp.Go(func() error { dmn.Exchange.Run(background); return nil })
+	for _, tsk := range dmn.Tasks {
+		grp.Go(func() error { tsk(background); return nil })
+	}
+	peers := peer.NewServer()
+	peers.Logger = dmn.Logger
+	dmn.Exchange.Register(peers)
+	lis, err := net.Listen("tcp", set.PeerAddress)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	grp.Go(func() error { return peers.Serve(background, lis) })
+	callers, err := dmn.serve(grp, set.CallerAddress, dmn.Server)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	ready, err := dmn.serve(grp, set.ReadyAddress, http.HandlerFunc(dmn.answerReady))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	dmn.Logger.WithFields(logrus.Fields{"name": set.Name, "callerAddress": set.CallerAddress, "version": dmn.Version}).Info("gateway started")
+	select {
+	case <-ctx.Done():
+		dmn.drain(callers)
+	case <-background.Done():
+	}
+	stop()
+	_ = callers.Close()
+	_ = ready.Close()
+	dmn.Logger.Info("gateway stopped")
+	return trace.Wrap(grp.Wait())
+}
+
+func (dmn *Daemon) build() {
+	set := dmn.Settings
+	srv := dmn.Server
+	srv.Board, srv.Logger = dmn.Control, dmn.Logger
+	srv.Desk.FailureDomain = set.FailureDomain
+	srv.Budget.Ratio, srv.Budget.Extra, srv.Budget.Window = set.Retries.Ratio, set.Retries.Extra, time.Duration(set.Retries.Window)
+	dmn.Exchange.Name, dmn.Exchange.Server, dmn.Exchange.Control, dmn.Exchange.Logger = set.Name, srv, dmn.Control, dmn.Logger
+	dmn.Control.Logger = dmn.Logger
+	dmn.Control.OnLeaving = func(id string, news bool) {
+		if news {
+			dmn.Exchange.News()
+		}
+		srv.EndpointLeaves(id)
+	}
+	dmn.Control.OnChange = func(snp *Snapshot) {
+		srv.mutex.Lock()
+		defer srv.mutex.Unlock()
+		srv.Budget.Daemons = len(snp.Peers) + 1
+		srv.Desk.Forget(srv.Now(), snp.Fleet)
+	}
+}
+
+func (dmn *Daemon) serve(grp *errgroup.Group, address string, hdl http.Handler) (*http.Server, error) {
+	lis, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	grp.Go(func() error {
+		if err := srv.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+			return trace.Wrap(err)
+		}
+		return nil
+	})
+	return srv, nil
+}
+
+// answerReady tells the balancer whether the daemon takes callers.
+func (dmn *Daemon) answerReady(wri http.ResponseWriter, _ *http.Request) {
+	if dmn.draining.Load() || dmn.Control.Snapshot().Catalog == nil {
+		wri.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	wri.WriteHeader(http.StatusOK)
+}
+
+// drain takes requests until the balancer has noticed, and then finishes those in flight.
+func (dmn *Daemon) drain(callers *http.Server) {
+	began := time.Now()
+	dmn.draining.Store(true)
+	dmn.Logger.WithField("inFlight", dmn.Server.InFlight()).Info("draining")
+	time.Sleep(unreadyTime)
+	callers.SetKeepAlivesEnabled(false)
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(time.Duration(dmn.Settings.DrainNotice)-exitMargin))
+	defer cancel()
+	for dmn.Server.InFlight() > 0 && ctx.Err() == nil {
+		sleep(ctx, drainPoll)
+	}
+	if err := callers.Shutdown(ctx); err != nil {
+		dmn.Logger.WithError(err).WithField("inFlight", dmn.Server.InFlight()).Warn("requests were in flight at the end of the notice")
+		return
+	}
+	dmn.Logger.WithField("elapsed", time.Since(began)).Info("drained")
+}
--- /dev/null
+++ b/gateway/exchange.go
@@ -0,0 +1,182 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+
+	"papayacroft/catalog"
+	"papayacroft/dispatch"
+	"papayacroft/peer"
+)
+
+const (
+	exchangeMethod = "gateway.exchange"
+	// exchangeInterval is the time between two rounds of messages to some peers.
+	exchangeInterval = 400 * time.Millisecond
+	// exchangePeers is the number of peers that a round reaches.
+	exchangePeers = 3
+	// newsPeers is the number of peers told at once of a leaving endpoint or a new version.
+	newsPeers = 16
+	// exchangeTimeout bounds one message.
+	exchangeTimeout = 600 * time.Millisecond
+	// newsAge is how long an endpoint's leaving is told.
+	newsAge = 10 * time.Second
+)
+
+// message is what daemons tell each other.
+type message struct {
+	Name    string                    `json:"name"`
+	Version int64                     `json:"version"`
+	Usage   map[string]dispatch.Usage `json:"usage,omitempty"`
+	// Leaving has the starts of endpoints that leave, by id.
+	Leaving map[string]int64 `json:"leaving,omitempty"`
+}
+
+// messageReply carries the configuration if the sender's is older.
+type messageReply struct {
+	Version       int64            `json:"version"`
+	Configuration []byte           `json:"configuration,omitempty"`
+	Leaving       map[string]int64 `json:"leaving,omitempty"`
+}
+
+// Exchange tells other daemons what this one knows and learns from them.
+type Exchange struct {
+	Name    string
+	Server  *Server
+	Control *Control
+	Client  *peer.Client
+	Logger  logrus.FieldLogger
+	// Parse decodes a configuration that a peer sent.
+	Parse func(data []byte) (*catalog.Catalog, error)
+	Now   func() time.Time
+
+	news chan struct{}
+}
+
+// NewExchange returns an exchange that needs its exported fields set before Run.
+func NewExchange() *Exchange {
+	return &Exchange{Client: peer.NewClient(), Now: time.Now, news: make(chan struct{}, 1)}
+}
+
+// Register adds the method to a peer server.
+func (exc *Exchange) Register(srv *peer.Server) {
+	srv.Handlers[exchangeMethod] = func(ctx context.Context, params json.RawMessage) (any, error) {
+		var msg message
+		if err := json.Unmarshal(params, &msg); err != nil {
+			return nil, trace.BadParameter("message is not valid: %v", err)
+		}
+		return exc.receive(ctx, &msg), nil
+	}
+}
+
+// News asks for a round of messages at once.
+func (exc *Exchange) News() {
+	select {
+	case exc.news <- struct{}{}:
+	default:
+	}
+}
+
+// Run sends messages until the context ends.
+func (exc *Exchange) Run(ctx context.Context) {
+	ticker := time.NewTicker(exchangeInterval)
+	defer ticker.Stop()
+	for {
+		count := exchangePeers
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-exc.news:
+			count = newsPeers
+		}
+		exc.round(ctx, count)
+	}
+}
+
+func (exc *Exchange) round(ctx context.Context, count int) {
+	snp := exc.Control.Snapshot()
+	msg := exc.compose(snp)
+	addresses := make([]string, 0, len(snp.Peers))
+	for _, address := range snp.Peers {
+		addresses = append(addresses, address)
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	for _, address := range addresses[:min(count, len(addresses))] {
+		go exc.send(ctx, address, msg)
+	}
+}
+
+func (exc *Exchange) compose(snp *Snapshot) *message {
+	msg := &message{Name: exc.Name, Version: version(snp), Leaving: exc.leaving(snp)}
+	exc.Server.mutex.Lock()
+	msg.Usage = exc.Server.Desk.Own()
+	exc.Server.mutex.Unlock()
+	return msg
+}
+
+func (exc *Exchange) leaving(snp *Snapshot) map[string]int64 {
+	bornAt := map[string]int64{}
+	for id, mrk := range snp.Fleet.Leaving {
+		if exc.Now().Sub(mrk.At) < newsAge {
+			bornAt[id] = mrk.BornAt
+		}
+	}
+	return bornAt
+}
+
+func (exc *Exchange) send(ctx context.Context, address string, msg *message) {
+	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	var reply messageReply
+	if err := exc.Client.Call(callCtx, address, exchangeMethod, msg, &reply); err != nil {
+		exc.Logger.WithError(err).WithField("peer", address).Debug("peer did not answer")
+		return
+	}
+	if len(reply.Leaving) > 0 {
+		exc.Control.Send(ctx, Leaving{BornAt: reply.Leaving, Source: address})
+	}
+	if len(reply.Configuration) == 0 {
+		return
+	}
+	cat, err := exc.Parse(reply.Configuration)
+	if err != nil {
+		exc.Logger.WithError(err).WithField("peer", address).Warn("configuration of a peer passed over")
+		return
+	}
+	exc.Control.Send(ctx, Published{Catalog: cat, Source: address})
+}
+
+func (exc *Exchange) receive(ctx context.Context, msg *message) *messageReply {
+	exc.Server.mutex.Lock()
+	exc.Server.Desk.Peer(exc.Now(), msg.Name, msg.Usage)
+	exc.Server.mutex.Unlock()
+	snp := exc.Control.Snapshot()
+	if len(msg.Leaving) > 0 {
+		exc.Control.Send(ctx, Leaving{BornAt: msg.Leaving, Source: msg.Name})
+	}
+	reply := &messageReply{Version: version(snp), Leaving: exc.leaving(snp)}
+	for id := range msg.Leaving {
+		delete(reply.Leaving, id)
+	}
+	if reply.Version > msg.Version {
+		reply.Configuration = snp.Catalog.Raw
+	}
+	if msg.Version > reply.Version {
+		// The sender has a newer version: asking it brings the version here.
+		exc.News()
+	}
+	return reply
+}
+
+func version(snp *Snapshot) int64 {
+	if snp.Catalog == nil {
+		return 0
+	}
+	return snp.Catalog.Version
+}
--- /dev/null
+++ b/gateway/move.go
@@ -0,0 +1,176 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"papayacroft/catalog"
+	"papayacroft/dispatch"
+)
+
+const (
+	// moveTimeout bounds one copy of a generation's memory, which waits for others on the same links.
+	moveTimeout = 2500 * time.Millisecond
+	// moveTries bounds the engines tried as the destination of one move.
+	moveTries = 3
+)
+
+// Copied is what an engine answers to a copy of a generation's memory.
+type Copied struct {
+	// Handle names the copy.
+	Handle string
+	// Events is the number of events generated so far.
+	Events int
+}
+
+// Engines are the control calls of model engines.
+type Engines interface {
+	// Copy copies the memory of a running generation to another engine; last stops the generation first.
+	Copy(ctx context.Context, source, callID, target string, last bool) (Copied, error)
+	// Drop frees a copy at both engines.
+	Drop(ctx context.Context, source, handle string) error
+	// CopyName returns the name under which a copy made at a source is used.
+	CopyName(source, handle string) string
+}
+
+// streams are the generations being relayed, by engine.
+type streams struct {
+	mutex      sync.Mutex
+	byEndpoint map[string]map[*run]bool
+}
+
+func newStreams() *streams {
+	return &streams{byEndpoint: map[string]map[*run]bool{}}
+}
+
+func (sts *streams) add(one *run) {
+	sts.mutex.Lock()
+	defer sts.mutex.Unlock()
+	set, ok := sts.byEndpoint[one.endpoint.ID]
+	if !ok {
+		set = map[*run]bool{}
+		sts.byEndpoint[one.endpoint.ID] = set
+	}
+	set[one] = true
+}
+
+func (sts *streams) remove(one *run) {
+	sts.mutex.Lock()
+	defer sts.mutex.Unlock()
+	delete(sts.byEndpoint[one.endpoint.ID], one)
+	if len(sts.byEndpoint[one.endpoint.ID]) == 0 {
+		delete(sts.byEndpoint, one.endpoint.ID)
+	}
+}
+
+func (sts *streams) at(id string) []*run {
+	sts.mutex.Lock()
+	defer sts.mutex.Unlock()
+	var runs []*run
+	for one := range sts.byEndpoint[id] {
+		runs = append(runs, one)
+	}
+	return runs
+}
+
+// EndpointLeaves moves the generations off an engine that leaves.
+func (srv *Server) EndpointLeaves(id string) {
+	for _, one := range srv.streams.at(id) {
+		if one.begins(id) {
+			go one.move(id)
+		}
+	}
+}
+
+// begins marks the move as begun and reports whether it may go on.
+func (one *run) begins(id string) bool {
+	engine := one.server.Board.Snapshot().Catalog.Services[one.service].Engine
+	if engine == nil || !engine.Moves || one.route.Resumable {
+		return false
+	}
+	one.mutex.Lock()
+	defer one.mutex.Unlock()
+	if one.moving != nil {
+		return false
+	}
+	one.moving = make(chan struct{})
+	return true
+}
+
+// move copies the generation to another engine and stops it at the source.
+func (one *run) move(id string) {
+	defer one.endMove()
+	ctx, cancel := context.WithDeadline(one.http.Context(), one.deadline)
+	defer cancel()
+	snp := one.server.Board.Snapshot()
+	source, ok := snp.Fleet.Endpoints[id]
+	if !ok {
+		one.logger.WithField("endpoint", id).Info("engine is gone; its generation can't be moved")
+		return
+	}
+	log := one.logger.WithField("from", id)
+	excluded := map[string]bool{id: true}
+	for range moveTries {
+		cho := one.destination(&source, excluded)
+		if cho.Endpoint == nil {
+			log.WithField("reason", cho.String()).Warn("no engine can take the generation")
+			return
+		}
+		excluded[cho.Endpoint.ID] = true
+		if one.copyTo(ctx, log.WithField("to", cho.Endpoint.ID), &source, cho.Endpoint) {
+			return
+		}
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// endMove wakes a broken stream; without a copy a later try may begin.
+func (one *run) endMove() {
+	one.mutex.Lock()
+	defer one.mutex.Unlock()
+	if one.moving == nil {
+		return
+	}
+	close(one.moving)
+	if one.copy == nil {
+		one.moving = nil
+	}
+}
+
+func (one *run) destination(source *catalog.Endpoint, excluded map[string]bool) dispatch.Choice {
+	rqs := *one.request
+	rqs.excluded = excluded
+	return one.server.choose(one.server.Now(), &rqs, one.tokens, true)
+}
+
+// copyTo copies the memory while the generation runs, then stops it and copies the rest.
+func (one *run) copyTo(ctx context.Context, log logrus.FieldLogger, source, target *catalog.Endpoint) bool {
+	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
+	defer cancel()
+	engines := one.server.Engines
+	one.server.begin(target.ID, one.tokens)
+	defer one.server.end(target.ID, one.tokens)
+	began := one.server.Now()
+	cpd, err := engines.Copy(ctx, source.Address, one.ID, target.Address, false)
+	if err != nil {
+		log.WithError(err).WithField("elapsed", one.server.Now().Sub(began)).Info("generation could not be copied")
+		return false
+	}
+	copied := one.server.Now()
+	rest, err := engines.Copy(ctx, source.Address, one.ID, target.Address, true)
+	if err == nil && rest.Handle != "" {
+		cpd = rest
+	}
+	log.WithFields(logrus.Fields{
+		"copy": copied.Sub(began), "rest": one.server.Now().Sub(copied), "events": cpd.Events, "error": errorText(err),
+	}).Info("generation copied")
+	one.mutex.Lock()
+	one.copy = &copyAt{endpoint: target, name: engines.CopyName(source.Address, cpd.Handle)}
+	one.mutex.Unlock()
+	return true
+}
--- /dev/null
+++ b/gateway/plain.go
@@ -0,0 +1,201 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"papayacroft/catalog"
+)
+
+const (
+	// maxPlainBytes bounds an answer that is held until it is complete.
+	maxPlainBytes = 4 << 20
+	// fullRetry is when a caller may come back that found all endpoints full or none that takes work.
+	fullRetry = 400 * time.Millisecond
+	// maxUnreached bounds the endpoints tried for one request that took no connection.
+	maxUnreached = 4
+	// silentShare is the part of the remaining time after which a repeatable request is tried elsewhere.
+	silentShare = 0.4
+)
+
+// plainAnswer is a whole answer of an endpoint.
+type plainAnswer struct {
+	response *http.Response
+	body     []byte
+}
+
+// outcome is what became of one send.
+type outcome int
+
+const (
+	// outcomeAnswered is a whole answer.
+	outcomeAnswered outcome = iota
+	// outcomeNotRun means that the endpoint did not run the request.
+	outcomeNotRun
+	// outcomeUnreached means that the request was not sent.
+	outcomeUnreached
+	// outcomeUnknown means that the endpoint may have run the request.
+	outcomeUnknown
+)
+
+// serveCall sends a request to endpoints until one answers, as often as its route allows.
+func (srv *Server) serveCall(ctx context.Context, wri http.ResponseWriter, rqs *request) *refusal {
+	mayHaveRun := false
+	var last *plainAnswer
+	for unreached := 0; ; {
+		cho := srv.choose(srv.Now(), rqs, 0, true)
+		if cho.Endpoint == nil {
+			if last != nil {
+				break
+			}
+			if mayHaveRun {
+				return failed("no other endpoint takes work: %s", cho)
+			}
+			return notRun(fullRetry, "no endpoint takes work: %s", cho)
+		}
+		ans, res, err := srv.sendCall(ctx, rqs, cho.Endpoint)
+		rqs.logger.WithFields(logrus.Fields{
+			"endpoint": cho.Endpoint.ID, "choice": cho.String(), "outcome": res.String(), "status": ans.status(),
+			"elapsed": srv.Now().Sub(rqs.begun), "error": errorText(err),
+		}).Info("request sent")
+		rqs.excluded[cho.Endpoint.ID] = true
+		again := false
+		switch res {
+		case outcomeAnswered:
+			if ans.response.StatusCode < 500 || !rqs.route.Repeatable() {
+				ans.write(wri, srv.Wire)
+				return nil
+			}
+			last, again = ans, true
+		case outcomeNotRun:
+			again = true
+		case outcomeUnreached:
+			unreached++
+		case outcomeUnknown:
+			mayHaveRun, again = true, rqs.route.Repeatable()
+		}
+		if rqs.http.Context().Err() != nil {
+			return failed("the caller left")
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		if res != outcomeUnreached && (!again || rqs.sends >= srv.attempts(rqs, res) || !srv.spend(rqs)) {
+			break
+		}
+		if unreached >= maxUnreached {
+			break
+		}
+	}
+	switch {
+	case last != nil:
+		last.write(wri, srv.Wire)
+		return nil
+	case mayHaveRun && ctx.Err() != nil:
+		return expired("no answer before the deadline")
+	case mayHaveRun:
+		return failed("the endpoint's answer was lost")
+	}
+	return notRun(fullRetry, "endpoints refused the request or took no connection")
+}
+
+// attempts is the number of endpoints to which the request may be sent.
+// An endpoint that refuses has not run the request, so a route for one endpoint allows another one then.
+func (srv *Server) attempts(rqs *request, res outcome) int {
+	if res == outcomeNotRun {
+		return max(2, rqs.route.Attempts)
+	}
+	return rqs.route.Attempts
+}
+
+// sendCall sends the request to an endpoint and reads the whole answer.
+func (srv *Server) sendCall(ctx context.Context, rqs *request, edp *catalog.Endpoint) (*plainAnswer, outcome, error) {
+	if rqs.route.Repeatable() && rqs.sends+1 < rqs.route.Attempts {
+		left := rqs.deadline.Sub(srv.Now())
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeoutCause(ctx, time.Duration(silentShare*float64(left)), errSilent)
+		defer cancel()
+	}
+	srv.begin(edp.ID, 0)
+	defer srv.end(edp.ID, 0)
+	lnk, err := Open(ctx, edp.Address, srv.outgoing(rqs, Forward{Endpoint: edp.ID, Priority: -1}))
+	var sendErr *SendError
+	if errors.As(err, &sendErr) && !sendErr.Sent {
+		srv.noteFailure(edp.ID, true)
+		return nil, outcomeUnreached, err
+	}
+	rqs.sends++
+	if err != nil {
+		srv.noteFailure(edp.ID, false)
+		return nil, outcomeUnknown, err
+	}
+	defer lnk.Close()
+	ans := srv.Wire.ParseAnswer(lnk.Response)
+	if ans.NotRun {
+		srv.noteAnswer(edp.ID, ans, false)
+		return nil, outcomeNotRun, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(lnk.Response.Body, maxPlainBytes))
+	if err == nil {
+		err = checkAnswer(rqs, ans)
+	}
+	srv.noteAnswer(edp.ID, ans, err == nil && lnk.Response.StatusCode < 500)
+	if err != nil {
+		return nil, outcomeUnknown, err
+	}
+	return &plainAnswer{response: lnk.Response, body: body}, outcomeAnswered, nil
+}
+
+var (
+	errUnsigned   = errors.New("the answer is not signed")
+	errOtherCall  = errors.New("the answer belongs to another request")
+	errNotOwnBody = errors.New("the answer's body is encoded")
+)
+
+// checkAnswer reports why an answer can't be handed on.
+func checkAnswer(rqs *request, ans Answer) error {
+	switch {
+	case !ans.Signed:
+		return errUnsigned
+	case ans.CallID != "" && ans.CallID != rqs.ID:
+		return errOtherCall
+	case ans.Encoded:
+		return errNotOwnBody
+	}
+	return nil
+}
+
+func (ans *plainAnswer) status() int {
+	if ans == nil {
+		return 0
+	}
+	return ans.response.StatusCode
+}
+
+func (ans *plainAnswer) write(wri http.ResponseWriter, wire Wire) {
+	hdr := wri.Header()
+	for name, values := range wire.AnswerHeader(ans.response.Header) {
+		hdr[name] = values
+	}
+	hdr.Set("Content-Length", strconv.Itoa(len(ans.body)))
+	wri.WriteHeader(ans.response.StatusCode)
+	_, _ = wri.Write(ans.body)
+}
+
+// String names the outcome for the log.
+func (out outcome) String() string {
+	return [...]string{"answered", "notRun", "unreached", "unknown"}[out]
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/gateway/server.go
@@ -0,0 +1,226 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"papayacroft/catalog"
+	"papayacroft/dispatch"
+)
+
+const (
+	// noCatalogRetry is when a caller may ask a daemon again that knows no configuration yet.
+	noCatalogRetry = 500 * time.Millisecond
+	// defaultDeadline bounds requests of routes without a timeout.
+	defaultDeadline = time.Minute
+	// defaultMaxBodyBytes applies if the configuration has no limit.
+	defaultMaxBodyBytes = 4 << 20
+	// bodyTimeout bounds the time in which a caller sends its body.
+	bodyTimeout = 10 * time.Second
+	// answerMargin is how long before its deadline a request that has no answer is ended.
+	answerMargin = 20 * time.Millisecond
+)
+
+// Board gives the newest snapshot.
+type Board interface {
+	Snapshot() *Snapshot
+}
+
+// Server handles callers' requests.
+type Server struct {
+	Board   Board
+	Wire    Wire
+	Engines Engines
+	Desk    *dispatch.Desk
+	Budget  *dispatch.Budget
+	Logger  logrus.FieldLogger
+	Now     func() time.Time
+
+	// mutex guards the desk and the budget.
+	mutex    sync.Mutex
+	inFlight atomic.Int64
+	streams  *streams
+}
+
+// NewServer returns a server that uses the present time.
+func NewServer() *Server {
+	return &Server{Now: time.Now, Desk: dispatch.NewDesk(), Budget: dispatch.NewBudget(), streams: newStreams()}
+}
+
+// InFlight returns the number of requests being served.
+func (srv *Server) InFlight() int64 {
+	return srv.inFlight.Load()
+}
+
+// request is one caller's request on its way through the server.
+type request struct {
+	Call
+	http         *http.Request
+	route        *catalog.Route
+	service      string
+	organisation string
+	rank         int
+	body         []byte
+	begun        time.Time
+	deadline     time.Time
+	logger       logrus.FieldLogger
+	excluded     map[string]bool
+	sends        int
+}
+
+// ServeHTTP answers one request.
+func (srv *Server) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
+	srv.inFlight.Add(1)
+	defer srv.inFlight.Add(-1)
+	now := srv.Now()
+	rqs := &request{Call: srv.Wire.ParseCall(req.Header), http: req, begun: now, excluded: map[string]bool{}}
+	rqs.logger = srv.Logger.WithField("request", rqs.ID)
+	ref := srv.admit(now, wri, rqs)
+	if ref == nil {
+		ctx, cancel := context.WithDeadlineCause(req.Context(), rqs.deadline, errDeadline)
+		defer cancel()
+		if rqs.route.Kind == catalog.KindStream {
+			ref = srv.serveStream(ctx, wri, rqs)
+		} else {
+			ref = srv.serveCall(ctx, wri, rqs)
+		}
+	}
+	if ref == nil {
+		return
+	}
+	rqs.logger.WithFields(logrus.Fields{
+		"status": ref.status, "reason": ref.reason, "retryAfter": ref.retryAfter, "sends": rqs.sends, "elapsed": srv.Now().Sub(now),
+	}).Info("request refused")
+	ref.write(wri)
+}
+
+var (
+	errDeadline = errors.New("the request's deadline passed")
+	errSilent   = errors.New("the endpoint was silent")
+)
+
+// admit finds the route and the organisation and reads the body.
+func (srv *Server) admit(now time.Time, wri http.ResponseWriter, rqs *request) *refusal {
+	cat := srv.Board.Snapshot().Catalog
+	if cat == nil {
+		return notRun(noCatalogRetry, "no configuration is known yet")
+	}
+	rou := cat.Match(rqs.http.Host, rqs.http.URL.EscapedPath())
+	if rou == nil {
+		return invalid(http.StatusNotFound, "no route matches host %q and the path, version %d", rqs.http.Host, cat.Version)
+	}
+	rqs.route, rqs.rank = rou, rou.Priority
+	if !rou.Public && cat.RequiresKeys() {
+		org := cat.Holder(rqs.Key)
+		if org == nil {
+			return invalid(http.StatusUnauthorized, "the key is not known, version %d", cat.Version)
+		}
+		rqs.organisation = org.Name
+		if org.HasPriority {
+			rqs.rank = org.Priority
+		}
+	}
+	rqs.service = rou.Pick(rand.Float64())
+	wait := rou.Timeout
+	if wait <= 0 {
+		wait = defaultDeadline
+	}
+	if rqs.Deadline > 0 {
+		wait = min(wait, rqs.Deadline)
+	}
+	rqs.deadline = now.Add(wait - answerMargin)
+	rqs.logger = rqs.logger.WithFields(logrus.Fields{"route": rou.Name, "version": cat.Version, "service": rqs.service})
+	srv.mutex.Lock()
+	srv.Budget.Request(now, rqs.service)
+	srv.mutex.Unlock()
+	return srv.readBody(now, wri, rqs, cat.Limits.MaxBodyBytes)
+}
+
+func (srv *Server) readBody(now time.Time, wri http.ResponseWriter, rqs *request, limit int64) *refusal {
+	if rqs.http.Body == nil || rqs.http.Body == http.NoBody {
+		return nil
+	}
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
+	}
+	ctl := http.NewResponseController(wri)
+	_ = ctl.SetReadDeadline(now.Add(bodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(wri, rqs.http.Body, limit))
+	_ = ctl.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return invalid(http.StatusRequestEntityTooLarge, "the body is larger than %d bytes", limit)
+	case err != nil:
+		return invalid(http.StatusBadRequest, "the body could not be read: %v", err)
+	}
+	rqs.body = body
+	return nil
+}
+
+// choose picks an endpoint for the request.
+func (srv *Server) choose(now time.Time, rqs *request, tokens int, force bool) dispatch.Choice {
+	snp := srv.Board.Snapshot()
+	srv.mutex.Lock()
+	defer srv.mutex.Unlock()
+	return srv.Desk.Choose(now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), snp.Catalog, snp.Fleet, &dispatch.Request{
+		Service: rqs.service, Tokens: tokens, Excluded: rqs.excluded, Force: force,
+	})
+}
+
+// outgoing builds the request to an endpoint.
+func (srv *Server) outgoing(rqs *request, fwd Forward) *Outgoing {
+	fwd.Organisation = rqs.organisation
+	fwd.Left = rqs.deadline.Sub(srv.Now())
+	return &Outgoing{
+		Method: rqs.http.Method, URL: rqs.http.URL, Host: rqs.http.Host,
+		Header: srv.Wire.RequestHeader(rqs.http.Header, fwd), Body: rqs.body,
+	}
+}
+
+// spend takes a repeat from the budget.
+func (srv *Server) spend(rqs *request) bool {
+	srv.mutex.Lock()
+	defer srv.mutex.Unlock()
+	return srv.Budget.Spend(srv.Now(), rqs.service)
+}
+
+func (srv *Server) begin(id string, tokens int) {
+	srv.mutex.Lock()
+	defer srv.mutex.Unlock()
+	srv.Desk.Begin(id, tokens)
+}
+
+func (srv *Server) end(id string, tokens int) {
+	srv.mutex.Lock()
+	defer srv.mutex.Unlock()
+	srv.Desk.End(id, tokens)
+}
+
+func (srv *Server) noteFailure(id string, unreachable bool) {
+	srv.mutex.Lock()
+	defer srv.mutex.Unlock()
+	srv.Desk.Failed(srv.Now(), id, unreachable)
+}
+
+func (srv *Server) noteAnswer(id string, ans Answer, ok bool) {
+	srv.mutex.Lock()
+	defer srv.mutex.Unlock()
+	now := srv.Now()
+	if ans.Load != nil {
+		srv.Desk.Reported(now, id, ans.Load.Running, ans.Load.Waiting)
+	}
+	if ok {
+		srv.Desk.Succeeded(now, id)
+	} else {
+		srv.Desk.Failed(now, id, false)
+	}
+}
--- /dev/null
+++ b/gateway/stream.go
@@ -0,0 +1,355 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"papayacroft/catalog"
+	"papayacroft/dispatch"
+)
+
+const (
+	// roomPoll is the time between two looks for room while a request waits.
+	roomPoll = 20 * time.Millisecond
+	// waitShare is the part of its target for which a stream waits for room.
+	waitShare = 0.5
+	// moveWait is how long a broken stream waits for the result of its move.
+	moveWait = 2 * time.Second
+	// silenceLimit is the pause after which a stream that may be resumed goes on at another engine.
+	silenceLimit = 1200 * time.Millisecond
+)
+
+// run is a generation whose events are relayed to a caller.
+type run struct {
+	*request
+	server  *Server
+	writer  http.ResponseWriter
+	control *http.ResponseController
+	tokens  int
+
+	link     *Link
+	endpoint *catalog.Endpoint
+	// header is true once the caller has the head of the answer.
+	header bool
+	events int
+
+	// mutex guards what the move writes.
+	mutex     sync.Mutex
+	lastEvent string
+	moving    chan struct{}
+	copy      *copyAt
+	backup    *catalog.Endpoint
+}
+
+// copyAt names a copy of the generation's memory and the engine that holds it.
+type copyAt struct {
+	endpoint *catalog.Endpoint
+	name     string
+}
+
+// serveStream relays a stream, over several engines if need be.
+func (srv *Server) serveStream(ctx context.Context, wri http.ResponseWriter, rqs *request) *refusal {
+	rqs.logger.WithFields(logrus.Fields{"prompt": rqs.PromptTokens, "maxTokens": rqs.MaxTokens, "hint": rqs.LengthHint}).Debug("stream")
+	one := &run{request: rqs, server: srv, writer: wri, control: http.NewResponseController(wri), tokens: expectedTokens(rqs)}
+	one.lastEvent = rqs.LastEvent
+	ref := one.start(ctx)
+	if ref != nil || one.link == nil {
+		return ref
+	}
+	defer func() { one.leave() }()
+	for {
+		err := one.relay()
+		if err == nil {
+			return nil
+		}
+		if rqs.http.Context().Err() != nil {
+			rqs.logger.WithField("events", one.events).Info("caller left the stream")
+			return nil
+		}
+		rqs.logger.WithError(err).WithFields(logrus.Fields{"endpoint": one.endpoint.ID, "events": one.events}).Info("stream broke off")
+		if ctx.Err() == nil && one.resume(ctx) {
+			continue
+		}
+		if !one.header {
+			if ctx.Err() != nil {
+				return expired("no event before the deadline")
+			}
+			return failed("the engine broke off before the first event: %v", err)
+		}
+		rqs.logger.WithFields(logrus.Fields{"events": one.events, "elapsed": srv.Now().Sub(rqs.begun)}).Warn("stream ended early")
+		// The caller must not take the answer for complete.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// expectedTokens is the memory that a generation is expected to need in the end.
+func expectedTokens(rqs *request) int {
+	output := rqs.MaxTokens / 2
+	if rqs.LengthHint > 0 {
+		output = min(rqs.LengthHint, max(rqs.MaxTokens, 1))
+	}
+	return rqs.PromptTokens + output
+}
+
+// start sends the request to engines until one begins to answer.
+func (one *run) start(ctx context.Context) *refusal {
+	srv, rqs := one.server, one.request
+	mayHaveRun := false
+	for unreached := 0; unreached < maxUnreached; {
+		cho := one.await(ctx)
+		if cho.Endpoint == nil {
+			if mayHaveRun {
+				return failed("no other engine takes work: %s", cho)
+			}
+			return notRun(fullRetry, "no engine takes work: %s", cho)
+		}
+		res, err := one.open(ctx, cho.Endpoint, Forward{LastEvent: rqs.LastEvent})
+		rqs.logger.WithFields(logrus.Fields{
+			"endpoint": cho.Endpoint.ID, "choice": cho.String(), "outcome": res.String(), "tokens": one.tokens,
+			"elapsed": srv.Now().Sub(rqs.begun), "error": errorText(err),
+		}).Info("request sent")
+		if res == outcomeAnswered {
+			return one.checkHead()
+		}
+		rqs.excluded[cho.Endpoint.ID] = true
+		if rqs.http.Context().Err() != nil || ctx.Err() != nil {
+			if rqs.sends > 0 && res == outcomeUnknown {
+				return expired("no answer before the deadline")
+			}
+			return notRun(fullRetry, "no engine took the request in time")
+		}
+		switch res {
+		case outcomeUnreached:
+			unreached++
+			continue
+		case outcomeUnknown:
+			if !rqs.route.Repeatable() {
+				return failed("the engine's answer was lost: %v", err)
+			}
+			mayHaveRun = true
+		}
+		if rqs.sends >= srv.attempts(rqs, res) || !srv.spend(rqs) {
+			break
+		}
+	}
+	if mayHaveRun {
+		return failed("the engines' answers were lost")
+	}
+	return notRun(fullRetry, "engines refused the request or took no connection")
+}
+
+// await chooses an engine, waiting for room for a part of the request's target.
+func (one *run) await(ctx context.Context) dispatch.Choice {
+	rqs := one.request
+	until := rqs.begun.Add(time.Duration(waitShare * float64(rqs.route.Target)))
+	for {
+		now := one.server.Now()
+		cho := one.server.choose(now, rqs, one.tokens, !now.Before(until))
+		if cho.Endpoint != nil || cho.Reason != dispatch.ReasonFull || ctx.Err() != nil {
+			return cho
+		}
+		sleep(ctx, roomPoll)
+	}
+}
+
+// open sends the request to an engine and reads the head of its answer.
+func (one *run) open(ctx context.Context, edp *catalog.Endpoint, fwd Forward) (outcome, error) {
+	srv, rqs := one.server, one.request
+	fwd.Endpoint, fwd.Priority = edp.ID, rqs.rank
+	srv.begin(edp.ID, one.tokens)
+	lnk, err := Open(ctx, edp.Address, srv.outgoing(rqs, fwd))
+	var sendErr *SendError
+	if errors.As(err, &sendErr) {
+		srv.end(edp.ID, one.tokens)
+		srv.noteFailure(edp.ID, !sendErr.Sent)
+		if !sendErr.Sent {
+			return outcomeUnreached, err
+		}
+		rqs.sends++
+		return outcomeUnknown, err
+	}
+	rqs.sends++
+	ans := srv.Wire.ParseAnswer(lnk.Response)
+	srv.noteAnswer(edp.ID, ans, !ans.NotRun && lnk.Response.StatusCode < 500)
+	if ans.NotRun {
+		srv.end(edp.ID, one.tokens)
+		lnk.Close()
+		return outcomeNotRun, nil
+	}
+	if err := checkAnswer(rqs, ans); err != nil {
+		srv.end(edp.ID, one.tokens)
+		lnk.Close()
+		return outcomeUnknown, err
+	}
+	one.link, one.endpoint = lnk, edp
+	srv.streams.add(one)
+	return outcomeAnswered, nil
+}
+
+// checkHead hands on an answer that is not a stream.
+func (one *run) checkHead() *refusal {
+	res := one.link.Response
+	if res.StatusCode == http.StatusOK {
+		return nil
+	}
+	defer one.leave()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxPlainBytes))
+	one.link = nil
+	if err != nil {
+		return failed("the engine's answer broke off: %v", err)
+	}
+	(&plainAnswer{response: res, body: body}).write(one.writer, one.server.Wire)
+	return nil
+}
+
+// leave ends the connection to the present engine.
+func (one *run) leave() {
+	if one.endpoint == nil {
+		return
+	}
+	one.server.streams.remove(one)
+	one.server.end(one.endpoint.ID, one.tokens)
+	if one.link != nil {
+		one.link.Close()
+	}
+	one.endpoint = nil
+}
+
+// relay hands on events until the stream ends; it returns nil if the stream is complete.
+func (one *run) relay() error {
+	reader := newEventReader(one.link.Response.Body)
+	for {
+		if one.route.Resumable {
+			one.link.SetReadDeadline(one.server.Now().Add(max(silenceLimit, one.silence())))
+		}
+		events, err := reader.next()
+		if len(events) > 0 {
+			if err := one.write(events); err != nil {
+				return err
+			}
+			continue
+		}
+		if err == io.EOF {
+			return one.finish()
+		}
+		return err
+	}
+}
+
+// silence is how long the engine may take until its first event.
+func (one *run) silence() time.Duration {
+	if one.events > 0 {
+		return 0
+	}
+	return one.route.Timeout / 2
+}
+
+func (one *run) write(events []byte) error {
+	one.writeHead()
+	id, count := lastEventID(events)
+	one.mutex.Lock()
+	if id != "" {
+		one.lastEvent = id
+	}
+	one.mutex.Unlock()
+	one.events += count
+	if _, err := one.writer.Write(events); err != nil {
+		return err
+	}
+	return one.control.Flush()
+}
+
+func (one *run) writeHead() {
+	if one.header {
+		return
+	}
+	one.header = true
+	hdr := one.writer.Header()
+	for name, values := range one.server.Wire.AnswerHeader(one.link.Response.Header) {
+		hdr[name] = values
+	}
+	one.writer.WriteHeader(one.link.Response.StatusCode)
+}
+
+// finish ends a complete stream.
+func (one *run) finish() error {
+	one.writeHead()
+	one.logger.WithFields(logrus.Fields{
+		"endpoint": one.endpoint.ID, "events": one.events, "elapsed": one.server.Now().Sub(one.begun),
+	}).Info("stream complete")
+	return nil
+}
+
+// resume goes on with the generation at another engine and reports whether it could.
+func (one *run) resume(ctx context.Context) bool {
+	if cpy := one.awaitMove(ctx); cpy != nil {
+		if one.reopen(ctx, cpy.endpoint, Forward{Copy: cpy.name}) {
+			return true
+		}
+	}
+	if !one.route.Repeatable() || one.sends >= one.route.Attempts || !one.server.spend(one.request) {
+		return false
+	}
+	one.excluded[one.endpoint.ID] = true
+	cho := one.server.choose(one.server.Now(), one.request, one.tokens, true)
+	return cho.Endpoint != nil && one.reopen(ctx, cho.Endpoint, Forward{})
+}
+
+// reopen sends the request again so that the stream goes on after its last event.
+func (one *run) reopen(ctx context.Context, edp *catalog.Endpoint, fwd Forward) bool {
+	last := one.endpoint
+	one.leave()
+	one.mutex.Lock()
+	fwd.LastEvent = one.lastEvent
+	one.moving, one.copy = nil, nil
+	one.mutex.Unlock()
+	res, err := one.open(ctx, edp, fwd)
+	status := 0
+	if one.link != nil && res == outcomeAnswered {
+		status = one.link.Response.StatusCode
+	}
+	one.logger.WithFields(logrus.Fields{
+		"endpoint": edp.ID, "from": last.ID, "copy": fwd.Copy, "lastEvent": fwd.LastEvent, "outcome": res.String(),
+		"status": status, "error": errorText(err),
+	}).Info("stream resumed")
+	if res != outcomeAnswered {
+		one.endpoint, one.link = nil, nil
+		return false
+	}
+	return status == http.StatusOK
+}
+
+// awaitMove returns the copy that the stream's move left, if there is one.
+func (one *run) awaitMove(ctx context.Context) *copyAt {
+	one.mutex.Lock()
+	moving := one.moving
+	one.mutex.Unlock()
+	if moving == nil {
+		return nil
+	}
+	tmr := time.NewTimer(moveWait)
+	defer tmr.Stop()
+	select {
+	case <-moving:
+	case <-tmr.C:
+	case <-ctx.Done():
+	}
+	one.mutex.Lock()
+	defer one.mutex.Unlock()
+	return one.copy
+}
+
+func sleep(ctx context.Context, dur time.Duration) {
+	tmr := time.NewTimer(dur)
+	defer tmr.Stop()
+	select {
+	case <-tmr.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/papayacroftd/cmd_gateway.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"github.com/gravitational/trace"
+	"github.com/spf13/cobra"
+
+	"papayacroft/gateway"
+	"papayacroft/platform"
+	"papayacroft/settings"
+)
+
+func newGatewayCommand() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:   "gateway",
+		Short: "Serve callers by host and path on machines with a metadata store",
+		Args:  cobra.NoArgs,
+		RunE:  func(*cobra.Command, []string) error { return runGateway(file) },
+	}
+	cmd.Flags().StringVar(&file, "settings", "gateway.yaml", "settings `file` in YAML")
+	return cmd
+}
+
+func runGateway(file string) error {
+	set, lst, err := settings.LoadGateway(file)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if err := lst.Err(); err != nil {
+		return err
+	}
+	logger, err := newLogger(set.Log)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	dmn := gateway.NewDaemon()
+	dmn.Settings, dmn.Logger, dmn.Version = set, logger, version
+	dmn.Server.Wire, dmn.Server.Engines = platform.Headers{}, platform.NewEngines()
+	dmn.Exchange.Parse = platform.ParseCatalog
+	fol := platform.NewFollower(platform.NewStore(set.StoreAddress))
+	fol.Control, fol.Logger, fol.Name, fol.PeerAddress = dmn.Control, logger, set.Name, set.PeerAddress
+	dmn.Tasks = append(dmn.Tasks, fol.Tasks()...)
+	drain, _ := signalContexts(logger)
+	return trace.Wrap(dmn.Run(drain))
+}
--- a/papayacroftd/main.go
+++ b/papayacroftd/main.go
@@ -37,6 +37,7 @@
 		SilenceErrors: true,
 		RunE:          func(*cobra.Command, []string) error { return run(file) },
 	}
+	cmd.AddCommand(newGatewayCommand())
 	cmd.Flags().StringVar(&file, "settings", "papayacroftd.yaml", "settings `file` in YAML")
 	return cmd
 }
--- /dev/null
+++ b/settings/gateway.go
@@ -0,0 +1,104 @@
+package settings
+
+import (
+	"os"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"papayacroft/document"
+	"papayacroft/finding"
+	"papayacroft/inventory"
+)
+
+// Gateway is the layout of the YAML settings file of a gateway.
+type Gateway struct {
+	Name          string `yaml:"name" required:"true"`
+	FailureDomain string `yaml:"failureDomain" required:"true"`
+	CallerAddress string `yaml:"callerAddress" required:"true"`
+	// ReadyAddress answers the balancer's question whether the daemon takes callers.
+	ReadyAddress   string `yaml:"readyAddress" required:"true"`
+	PeerAddress    string `yaml:"peerAddress" required:"true"`
+	MetricsAddress string `yaml:"metricsAddress"`
+	// StoreAddress is the metadata store's.
+	StoreAddress string `yaml:"storeAddress" required:"true"`
+	// DrainNotice is the time from the signal to stop until the platform ends the process.
+	DrainNotice document.Duration `yaml:"drainNotice"`
+	// MemoryMB bounds the memory of the process; 0 sets no bound.
+	MemoryMB int         `yaml:"memoryMB"`
+	Retries  RetryBudget `yaml:"retries"`
+	Log      Log         `yaml:"log"`
+}
+
+// RetryBudget bounds the requests that all daemons send to a second endpoint.
+type RetryBudget struct {
+	// Ratio is the number of repeats that each request earns.
+	Ratio float64 `yaml:"ratio"`
+	// Extra is the number of repeats in a window beyond that, for all daemons together.
+	Extra float64 `yaml:"extra"`
+	// Window is the time over which both are counted.
+	Window document.Duration `yaml:"window"`
+}
+
+const (
+	defaultRetryRatio  = 0.1
+	defaultRetryExtra  = 10
+	defaultRetryWindow = 10 * time.Second
+)
+
+// LoadGateway reads a gateway's settings file and returns every finding.
+func LoadGateway(file string) (*Gateway, finding.List, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, nil, trace.ConvertSystemError(err)
+	}
+	set, lst := ParseGateway(file, data)
+	return set, lst, nil
+}
+
+// ParseGateway reads a gateway's settings and returns every finding.
+func ParseGateway(file string, data []byte) (*Gateway, finding.List) {
+	set := &Gateway{
+		DrainNotice: document.Duration(defaultDrainNotice),
+		Retries:     RetryBudget{Ratio: defaultRetryRatio, Extra: defaultRetryExtra, Window: document.Duration(defaultRetryWindow)},
+		Log:         Log{Level: "info", Format: "json"},
+	}
+	doc, lst := document.Decode(file, data, set)
+	if len(lst) == 0 {
+		lst = set.validate()
+	}
+	doc.Locate(lst)
+	lst.Sort()
+	return set, lst
+}
+
+func (set *Gateway) validate() finding.List {
+	var lst finding.List
+	requireName(&lst, "name", set.Name)
+	requireName(&lst, "failureDomain", set.FailureDomain)
+	for _, adr := range []struct{ path, value string }{
+		{"callerAddress", set.CallerAddress}, {"readyAddress", set.ReadyAddress}, {"peerAddress", set.PeerAddress},
+		{"storeAddress", set.StoreAddress}, {"metricsAddress", set.MetricsAddress},
+	} {
+		if adr.path == "metricsAddress" && adr.value == "" {
+			continue
+		}
+		if err := inventory.ValidateAddress(adr.value); err != nil {
+			lst.Add(adr.path, "%s", err)
+		}
+	}
+	if set.DrainNotice <= 0 || time.Duration(set.DrainNotice) > maxDrainNotice {
+		lst.Add("drainNotice", "value %s is not allowed; more than 0 and at most %s is expected", time.Duration(set.DrainNotice), maxDrainNotice)
+	}
+	if set.MemoryMB < 0 {
+		lst.Add("memoryMB", "value %d is not allowed; 0 or more is expected", set.MemoryMB)
+	}
+	if set.Retries.Ratio < 0 || set.Retries.Extra < 0 {
+		lst.Add("retries", "ratio %g and extra %g are not allowed; 0 or more is expected", set.Retries.Ratio, set.Retries.Extra)
+	}
+	if set.Retries.Window <= 0 {
+		lst.Add("retries.window", "value %s is not allowed; more than 0 is expected", time.Duration(set.Retries.Window))
+	}
+	validateLog(&lst, set.Log)
+	return lst
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -125,14 +125,7 @@
 	if set.DrainNotice <= 0 || time.Duration(set.DrainNotice) > maxDrainNotice {
 		lst.Add("drainNotice", "value %s is not allowed; more than 0 and at most %s is expected", time.Duration(set.DrainNotice), maxDrainNotice)
 	}
-	switch set.Log.Level {
-	case "debug", "info", "warning", "error":
-	default:
-		lst.Add("log.level", "level %q is not allowed; debug, info, warning or error is expected", set.Log.Level)
-	}
-	if set.Log.Format != "text" && set.Log.Format != "json" {
-		lst.Add("log.format", "format %q is not allowed; text or json is expected", set.Log.Format)
-	}
+	validateLog(&lst, set.Log)
 	return lst
 }
 
@@ -149,6 +142,17 @@
 	return []byte(key), nil
 }
 
+func validateLog(lst *finding.List, log Log) {
+	switch log.Level {
+	case "debug", "info", "warning", "error":
+	default:
+		lst.Add("log.level", "level %q is not allowed; debug, info, warning or error is expected", log.Level)
+	}
+	if log.Format != "text" && log.Format != "json" {
+		lst.Add("log.format", "format %q is not allowed; text or json is expected", log.Format)
+	}
+}
+
 func requireName(lst *finding.List, path, value string) {
 	if !inventory.ValidName(value) {
 		lst.Add(path, "name %q is not allowed; %s are expected", value, inventory.NameRule)
