Choose engines by the prompts that wait there, and tell peers at once

Cause: a new, empty engine got the next requests of all daemons; their prompts were read one after the other and the first events of long streams came 2 s late. Change: the score counts prompt tokens without a first event at an engine, of this daemon and its peers; a notice goes to the peers with each generation sent.

--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -28,6 +28,11 @@
 	coldPenalty = 0.3
 	// memoryLimit is the part of an engine's memory that expected generations may fill.
 	memoryLimit = 0.95
+	// prefillTokensPerSecond is how fast an engine reads prompts beside running generations:
+	// a chunk of 112 tokens in each step of about 15 ms.
+	prefillTokensPerSecond = 7000
+	// memoryWeight weighs the use of memory against the wait for the first event as a part of its target.
+	memoryWeight = 0.3
 )
 
 // Reason says why no endpoint was chosen.
@@ -42,8 +47,9 @@
 // Request is what a decision needs to know of a request.
 type Request struct {
 	Service string
-	// Tokens is the memory that the request is expected to need at an engine in the end; 0 for plain services.
-	Tokens int
+	Work
+	// Target is the time to the first event that is on time; 0 for plain services.
+	Target time.Duration
 	// Excluded endpoints are not considered.
 	Excluded map[string]bool
 	// Force chooses the best endpoint also if all are full.
@@ -60,10 +66,26 @@
 	Considered int
 }
 
+// Work is what a request asks of an engine; it is zero for plain services.
+type Work struct {
+	// Tokens is the memory that the request is expected to need in the end.
+	Tokens int
+	// Prefill is the number of prompt tokens that the engine reads before the first event.
+	Prefill int
+}
+
+// Flight is a request at an endpoint.
+type Flight struct {
+	Endpoint string
+	Work     Work
+}
+
 // Usage is the work that a daemon has at an endpoint.
 type Usage struct {
 	Flights int `json:"flights"`
 	Tokens  int `json:"tokens,omitempty"`
+	// Prefill is the number of prompt tokens of the flights without a first event.
+	Prefill int `json:"prefill,omitempty"`
 }
 
 // Report is an endpoint's own word on its load.
@@ -93,7 +115,7 @@
 
 type peerUsage struct {
 	usage map[string]Usage
-	until time.Time
+	at    time.Time
 }
 
 // NewDesk returns a desk that knows nothing yet.
@@ -124,7 +146,11 @@
 			}
 			continue
 		}
-		score := use + failureWeight*sta.failureShare(now) + rnd.Float64()*distancePenalty/2
+		score := use
+		if engine != nil {
+			score = memoryWeight*use + dsk.firstDelay(now, id, sta, req)
+		}
+		score += failureWeight*sta.failureShare(now) + rnd.Float64()*distancePenalty/2
 		if edp.FailureDomain != dsk.FailureDomain {
 			score += distancePenalty
 		}
@@ -145,7 +171,7 @@
 func (dsk *Desk) use(now time.Time, id string, sta *endpoint, edp *catalog.Endpoint, engine *catalog.Engine, req *Request) float64 {
 	flights, tokens := sta.own.Flights, sta.own.Tokens
 	for _, per := range dsk.peers {
-		if now.Before(per.until) {
+		if now.Sub(per.at) < usageLifetime {
 			flights += per.usage[id].Flights
 			tokens += per.usage[id].Tokens
 		}
@@ -161,18 +187,40 @@
 	return use
 }
 
+// firstDelay is the expected time to the first event as a part of its target.
+// New engines are empty and get the requests of all daemons at once: their prompts are read one after the other,
+// and only the daemons' own counts show that in time.
+func (dsk *Desk) firstDelay(now time.Time, id string, sta *endpoint, req *Request) float64 {
+	pending := float64(sta.own.Prefill)
+	for _, per := range dsk.peers {
+		if age := now.Sub(per.at); age < usageLifetime {
+			pending += max(0, float64(per.usage[id].Prefill)-prefillTokensPerSecond*age.Seconds())
+		}
+	}
+	return (pending + float64(req.Prefill)) / prefillTokensPerSecond / max(req.Target, time.Second).Seconds()
+}
+
 // Begin counts a request that is sent to an endpoint.
-func (dsk *Desk) Begin(id string, tokens int) {
+func (dsk *Desk) Begin(id string, wrk Work) *Flight {
 	sta := dsk.endpoint(id)
 	sta.own.Flights++
-	sta.own.Tokens += tokens
+	sta.own.Tokens += wrk.Tokens
+	sta.own.Prefill += wrk.Prefill
+	return &Flight{Endpoint: id, Work: wrk}
+}
+
+// Started notes the first event of a flight.
+func (dsk *Desk) Started(flt *Flight) {
+	dsk.endpoint(flt.Endpoint).own.Prefill -= flt.Work.Prefill
+	flt.Work.Prefill = 0
 }
 
 // End counts a request that has ended at an endpoint.
-func (dsk *Desk) End(id string, tokens int) {
-	sta := dsk.endpoint(id)
+func (dsk *Desk) End(flt *Flight) {
+	sta := dsk.endpoint(flt.Endpoint)
 	sta.own.Flights--
-	sta.own.Tokens -= tokens
+	sta.own.Tokens -= flt.Work.Tokens
+	sta.own.Prefill -= flt.Work.Prefill
 }
 
 // Reported takes in an endpoint's own word on its load.
@@ -200,7 +248,7 @@
 
 // Peer takes in the work that another daemon has at the endpoints.
 func (dsk *Desk) Peer(now time.Time, name string, usage map[string]Usage) {
-	dsk.peers[name] = peerUsage{usage: usage, until: now.Add(usageLifetime)}
+	dsk.peers[name] = peerUsage{usage: usage, at: now}
 }
 
 // Own returns the work of this daemon by endpoint.
@@ -222,7 +270,7 @@
 		}
 	}
 	for name, per := range dsk.peers {
-		if !now.Before(per.until) {
+		if now.Sub(per.at) >= usageLifetime {
 			delete(dsk.peers, name)
 		}
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -16,6 +16,9 @@
 
 const (
 	exchangeMethod = "gateway.exchange"
+	workMethod     = "gateway.work"
+	// workDelay gathers the generations that are sent at about the same time in one message.
+	workDelay = 3 * time.Millisecond
 	// exchangeInterval is the time between two rounds of messages to some peers.
 	exchangeInterval = 400 * time.Millisecond
 	// exchangePeers is the number of peers that a round reaches.
@@ -56,11 +59,12 @@
 	Now   func() time.Time
 
 	news chan struct{}
+	work chan struct{}
 }
 
 // NewExchange returns an exchange that needs its exported fields set before Run.
 func NewExchange() *Exchange {
-	return &Exchange{Client: peer.NewClient(), Now: time.Now, news: make(chan struct{}, 1)}
+	return &Exchange{Client: peer.NewClient(), Now: time.Now, news: make(chan struct{}, 1), work: make(chan struct{}, 1)}
 }
 
 // Register adds the method to a peer server.
@@ -72,6 +76,22 @@
 		}
 		return exc.receive(ctx, &msg), nil
 	}
+	srv.Handlers[workMethod] = func(_ context.Context, params json.RawMessage) (any, error) {
+		var msg message
+		if err := json.Unmarshal(params, &msg); err != nil {
+			return nil, trace.BadParameter("message is not valid: %v", err)
+		}
+		exc.takeUsage(&msg)
+		return nil, nil
+	}
+}
+
+// Work asks to tell the peers at once what this daemon has at the engines.
+func (exc *Exchange) Work() {
+	select {
+	case exc.work <- struct{}{}:
+	default:
+	}
 }
 
 // News asks for a round of messages at once.
@@ -99,25 +119,59 @@
 	}
 }
 
-func (exc *Exchange) round(ctx context.Context, count int) {
+// RunWork tells the peers of new generations until the context ends.
+func (exc *Exchange) RunWork(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-exc.work:
+		}
+		sleep(ctx, workDelay)
+		msg := &message{Name: exc.Name, Usage: exc.usage()}
+		for _, address := range exc.addresses(newsPeers) {
+			notifyCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+			if err := exc.Client.Notify(notifyCtx, address, workMethod, msg); err != nil {
+				exc.Logger.WithError(err).WithField("peer", address).Debug("peer was not told")
+			}
+			cancel()
+		}
+	}
+}
+
+// addresses returns some peers in random order.
+func (exc *Exchange) addresses(count int) []string {
 	snp := exc.Control.Snapshot()
-	msg := exc.compose(snp)
 	addresses := make([]string, 0, len(snp.Peers))
 	for _, address := range snp.Peers {
 		addresses = append(addresses, address)
 	}
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	for _, address := range addresses[:min(count, len(addresses))] {
+	return addresses[:min(count, len(addresses))]
+}
+
+func (exc *Exchange) usage() map[string]dispatch.Usage {
+	exc.Server.mutex.Lock()
+	defer exc.Server.mutex.Unlock()
+	return exc.Server.Desk.Own()
+}
+
+func (exc *Exchange) takeUsage(msg *message) {
+	exc.Server.mutex.Lock()
+	defer exc.Server.mutex.Unlock()
+	exc.Server.Desk.Peer(exc.Now(), msg.Name, msg.Usage)
+}
+
+func (exc *Exchange) round(ctx context.Context, count int) {
+	snp := exc.Control.Snapshot()
+	msg := exc.compose(snp)
+	for _, address := range exc.addresses(count) {
 		go exc.send(ctx, address, msg)
 	}
 }
 
 func (exc *Exchange) compose(snp *Snapshot) *message {
-	msg := &message{Name: exc.Name, Version: version(snp), Leaving: exc.leaving(snp)}
-	exc.Server.mutex.Lock()
-	msg.Usage = exc.Server.Desk.Own()
-	exc.Server.mutex.Unlock()
-	return msg
+	return &message{Name: exc.Name, Version: version(snp), Usage: exc.usage(), Leaving: exc.leaving(snp)}
 }
 
 func (exc *Exchange) leaving(snp *Snapshot) map[string]int64 {
@@ -153,9 +207,7 @@
 }
 
 func (exc *Exchange) receive(ctx context.Context, msg *message) *messageReply {
-	exc.Server.mutex.Lock()
-	exc.Server.Desk.Peer(exc.Now(), msg.Name, msg.Usage)
-	exc.Server.mutex.Unlock()
+	exc.takeUsage(msg)
 	snp := exc.Control.Snapshot()
 	if len(msg.Leaving) > 0 {
 		exc.Control.Send(ctx, Leaving{BornAt: msg.Leaving, Source: msg.Name})
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -145,7 +145,7 @@
 func (one *run) destination(source *catalog.Endpoint, excluded map[string]bool) dispatch.Choice {
 	rqs := *one.request
 	rqs.excluded = excluded
-	return one.server.choose(one.server.Now(), &rqs, one.tokens, true)
+	return one.server.choose(one.server.Now(), &rqs, dispatch.Work{Tokens: one.work.Tokens}, true)
 }
 
 // copyTo copies the memory while the generation runs, then stops it and copies the rest.
@@ -153,8 +153,8 @@
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
 	engines := one.server.Engines
-	one.server.begin(target.ID, one.tokens)
-	defer one.server.end(target.ID, one.tokens)
+	flt := one.server.begin(target.ID, dispatch.Work{Tokens: one.work.Tokens})
+	defer one.server.end(flt)
 	began := one.server.Now()
 	cpd, err := engines.Copy(ctx, source.Address, one.ID, target.Address, false)
 	if err != nil {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"papayacroft/catalog"
+	"papayacroft/dispatch"
 )
 
 const (
@@ -49,7 +50,7 @@
 	mayHaveRun := false
 	var last *plainAnswer
 	for unreached := 0; ; {
-		cho := srv.choose(srv.Now(), rqs, 0, true)
+		cho := srv.choose(srv.Now(), rqs, dispatch.Work{}, true)
 		if cho.Endpoint == nil {
 			if last != nil {
 				break
@@ -122,8 +123,8 @@
 		ctx, cancel = context.WithTimeoutCause(ctx, time.Duration(silentShare*float64(left)), errSilent)
 		defer cancel()
 	}
-	srv.begin(edp.ID, 0)
-	defer srv.end(edp.ID, 0)
+	flt := srv.begin(edp.ID, dispatch.Work{})
+	defer srv.end(flt)
 	lnk, err := Open(ctx, edp.Address, srv.outgoing(rqs, Forward{Endpoint: edp.ID, Priority: -1}))
 	var sendErr *SendError
 	if errors.As(err, &sendErr) && !sendErr.Sent {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -43,6 +43,8 @@
 	Budget  *dispatch.Budget
 	Logger  logrus.FieldLogger
 	Now     func() time.Time
+	// OnWork, if set, learns that a generation was sent to an engine; it must not block.
+	OnWork func()
 
 	// mutex guards the desk and the budget.
 	mutex    sync.Mutex
@@ -167,12 +169,12 @@
 }
 
 // choose picks an endpoint for the request.
-func (srv *Server) choose(now time.Time, rqs *request, tokens int, force bool) dispatch.Choice {
+func (srv *Server) choose(now time.Time, rqs *request, wrk dispatch.Work, force bool) dispatch.Choice {
 	snp := srv.Board.Snapshot()
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
 	return srv.Desk.Choose(now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), snp.Catalog, snp.Fleet, &dispatch.Request{
-		Service: rqs.service, Tokens: tokens, Excluded: rqs.excluded, Force: force,
+		Service: rqs.service, Work: wrk, Target: rqs.route.Target, Excluded: rqs.excluded, Force: force,
 	})
 }
 
@@ -193,16 +195,26 @@
 	return srv.Budget.Spend(srv.Now(), rqs.service)
 }
 
-func (srv *Server) begin(id string, tokens int) {
+func (srv *Server) begin(id string, wrk dispatch.Work) *dispatch.Flight {
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
-	srv.Desk.Begin(id, tokens)
+	flt := srv.Desk.Begin(id, wrk)
+	if wrk.Tokens > 0 && srv.OnWork != nil {
+		srv.OnWork()
+	}
+	return flt
+}
+
+func (srv *Server) started(flt *dispatch.Flight) {
+	srv.mutex.Lock()
+	defer srv.mutex.Unlock()
+	srv.Desk.Started(flt)
 }
 
-func (srv *Server) end(id string, tokens int) {
+func (srv *Server) end(flt *dispatch.Flight) {
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
-	srv.Desk.End(id, tokens)
+	srv.Desk.End(flt)
 }
 
 func (srv *Server) noteFailure(id string, unreachable bool) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -31,13 +31,17 @@
 	server  *Server
 	writer  http.ResponseWriter
 	control *http.ResponseController
-	tokens  int
+	work    dispatch.Work
 
 	link     *Link
+	flight   *dispatch.Flight
 	endpoint *catalog.Endpoint
 	// header is true once the caller has the head of the answer.
 	header bool
 	events int
+	// firstAt and lastAt are the times of the first and the newest event, pause is the longest between two.
+	firstAt, lastAt time.Time
+	pause           time.Duration
 
 	// mutex guards what the move writes.
 	mutex     sync.Mutex
@@ -56,7 +60,7 @@
 // serveStream relays a stream, over several engines if need be.
 func (srv *Server) serveStream(ctx context.Context, wri http.ResponseWriter, rqs *request) *refusal {
 	rqs.logger.WithFields(logrus.Fields{"prompt": rqs.PromptTokens, "maxTokens": rqs.MaxTokens, "hint": rqs.LengthHint}).Debug("stream")
-	one := &run{request: rqs, server: srv, writer: wri, control: http.NewResponseController(wri), tokens: expectedTokens(rqs)}
+	one := &run{request: rqs, server: srv, writer: wri, control: http.NewResponseController(wri), work: expectedWork(rqs)}
 	one.lastEvent = rqs.LastEvent
 	ref := one.start(ctx)
 	if ref != nil || one.link == nil {
@@ -88,13 +92,13 @@
 	}
 }
 
-// expectedTokens is the memory that a generation is expected to need in the end.
-func expectedTokens(rqs *request) int {
+// expectedWork is what a generation is expected to need.
+func expectedWork(rqs *request) dispatch.Work {
 	output := rqs.MaxTokens / 2
 	if rqs.LengthHint > 0 {
 		output = min(rqs.LengthHint, max(rqs.MaxTokens, 1))
 	}
-	return rqs.PromptTokens + output
+	return dispatch.Work{Tokens: rqs.PromptTokens + output, Prefill: rqs.PromptTokens}
 }
 
 // start sends the request to engines until one begins to answer.
@@ -111,7 +115,7 @@
 		}
 		res, err := one.open(ctx, cho.Endpoint, Forward{LastEvent: rqs.LastEvent})
 		rqs.logger.WithFields(logrus.Fields{
-			"endpoint": cho.Endpoint.ID, "choice": cho.String(), "outcome": res.String(), "tokens": one.tokens,
+			"endpoint": cho.Endpoint.ID, "choice": cho.String(), "outcome": res.String(), "tokens": one.work.Tokens,
 			"elapsed": srv.Now().Sub(rqs.begun), "error": errorText(err),
 		}).Info("request sent")
 		if res == outcomeAnswered {
@@ -150,7 +154,7 @@
 	until := rqs.begun.Add(time.Duration(waitShare * float64(rqs.route.Target)))
 	for {
 		now := one.server.Now()
-		cho := one.server.choose(now, rqs, one.tokens, !now.Before(until))
+		cho := one.server.choose(now, rqs, one.work, !now.Before(until))
 		if cho.Endpoint != nil || cho.Reason != dispatch.ReasonFull || ctx.Err() != nil {
 			return cho
 		}
@@ -162,11 +166,15 @@
 func (one *run) open(ctx context.Context, edp *catalog.Endpoint, fwd Forward) (outcome, error) {
 	srv, rqs := one.server, one.request
 	fwd.Endpoint, fwd.Priority = edp.ID, rqs.rank
-	srv.begin(edp.ID, one.tokens)
+	wrk := one.work
+	if fwd.Copy != "" {
+		wrk.Prefill = 0
+	}
+	flt := srv.begin(edp.ID, wrk)
 	lnk, err := Open(ctx, edp.Address, srv.outgoing(rqs, fwd))
 	var sendErr *SendError
 	if errors.As(err, &sendErr) {
-		srv.end(edp.ID, one.tokens)
+		srv.end(flt)
 		srv.noteFailure(edp.ID, !sendErr.Sent)
 		if !sendErr.Sent {
 			return outcomeUnreached, err
@@ -178,16 +186,16 @@
 	ans := srv.Wire.ParseAnswer(lnk.Response)
 	srv.noteAnswer(edp.ID, ans, !ans.NotRun && lnk.Response.StatusCode < 500)
 	if ans.NotRun {
-		srv.end(edp.ID, one.tokens)
+		srv.end(flt)
 		lnk.Close()
 		return outcomeNotRun, nil
 	}
 	if err := checkAnswer(rqs, ans); err != nil {
-		srv.end(edp.ID, one.tokens)
+		srv.end(flt)
 		lnk.Close()
 		return outcomeUnknown, err
 	}
-	one.link, one.endpoint = lnk, edp
+	one.link, one.endpoint, one.flight = lnk, edp, flt
 	srv.streams.add(one)
 	return outcomeAnswered, nil
 }
@@ -214,7 +222,7 @@
 		return
 	}
 	one.server.streams.remove(one)
-	one.server.end(one.endpoint.ID, one.tokens)
+	one.server.end(one.flight)
 	if one.link != nil {
 		one.link.Close()
 	}
@@ -259,12 +267,26 @@
 	}
 	one.mutex.Unlock()
 	one.events += count
+	if one.flight.Work.Prefill > 0 {
+		one.server.started(one.flight)
+	}
+	one.observe(one.server.Now())
 	if _, err := one.writer.Write(events); err != nil {
 		return err
 	}
 	return one.control.Flush()
 }
 
+// observe notes the time of new events.
+func (one *run) observe(now time.Time) {
+	if one.firstAt.IsZero() {
+		one.firstAt = now
+	} else {
+		one.pause = max(one.pause, now.Sub(one.lastAt))
+	}
+	one.lastAt = now
+}
+
 func (one *run) writeHead() {
 	if one.header {
 		return
@@ -282,6 +304,7 @@
 	one.writeHead()
 	one.logger.WithFields(logrus.Fields{
 		"endpoint": one.endpoint.ID, "events": one.events, "elapsed": one.server.Now().Sub(one.begun),
+		"first": one.firstAt.Sub(one.begun), "pause": one.pause, "maxTokens": one.MaxTokens, "hint": one.LengthHint, "prompt": one.PromptTokens,
 	}).Info("stream complete")
 	return nil
 }
@@ -297,7 +320,7 @@
 		return false
 	}
 	one.excluded[one.endpoint.ID] = true
-	cho := one.server.choose(one.server.Now(), one.request, one.tokens, true)
+	cho := one.server.choose(one.server.Now(), one.request, one.work, true)
 	return cho.Endpoint != nil && one.reopen(ctx, cho.Endpoint, Forward{})
 }
 
--- a/peer/client.go
+++ b/peer/client.go
@@ -49,6 +49,19 @@
 	return nil
 }
 
+// Notify sends a message without waiting for an answer.
+func (clt *Client) Notify(ctx context.Context, address, method string, params any) error {
+	rpc, err := clt.conn(ctx, address)
+	if err != nil {
+		return trace.ConnectionProblem(err, "peer %s", address)
+	}
+	if err := rpc.Notify(ctx, method, params); err != nil {
+		clt.drop(address, rpc)
+		return trace.ConnectionProblem(err, "peer %s: %s", address, method)
+	}
+	return nil
+}
+
 // Close ends all connections.
 func (clt *Client) Close() {
 	clt.mutex.Lock()
