Copy running generations until little is new, within the failure domain

Cause: the last copy of a move, for which the generation stops, queued behind the first copies of the engine's other generations; streams paused 0.3 to 1.5 s and became late. Change: copies of the running generation repeat until one is short, for 1.1 s at most, and destinations in the source's failure domain are preferred.

--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -24,6 +24,9 @@
 	failureWeight = 3.0
 	// distancePenalty prefers endpoints of the same failure domain while the loads are about equal.
 	distancePenalty = 0.04
+	// copyPenalty prefers destinations in the failure domain of the source, where a copy takes half as long.
+	// All generations of a leaving engine share its link, and there is hardly time for all of them.
+	copyPenalty = 0.6
 	// coldPenalty prefers endpoints that have not just started.
 	coldPenalty = 0.3
 	// memoryLimit is the part of an engine's memory that expected generations may fill.
@@ -50,6 +53,8 @@
 	Work
 	// Target is the time to the first event that is on time; 0 for plain services.
 	Target time.Duration
+	// Source is the failure domain of the engine that a generation is copied from; empty for new requests.
+	Source string
 	// Excluded endpoints are not considered.
 	Excluded map[string]bool
 	// Force chooses the best endpoint also if all are full.
@@ -151,7 +156,10 @@
 			score = memoryWeight*use + dsk.firstDelay(now, id, sta, req)
 		}
 		score += failureWeight*sta.failureShare(now) + rnd.Float64()*distancePenalty/2
-		if edp.FailureDomain != dsk.FailureDomain {
+		switch {
+		case req.Source != "" && edp.FailureDomain != req.Source:
+			score += copyPenalty
+		case req.Source == "" && edp.FailureDomain != dsk.FailureDomain:
 			score += distancePenalty
 		}
 		if now.Before(edp.WarmAt) {
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -14,6 +14,10 @@
 const (
 	// moveTimeout bounds one copy of a generation's memory, which waits for others on the same links.
 	moveTimeout = 2500 * time.Millisecond
+	// shortCopy is a copy after which the last one takes less than half of the pause that is on time (180 ms).
+	shortCopy = 80 * time.Millisecond
+	// copyTime bounds the copies of a running generation: the shortest notice is 1.5 s.
+	copyTime = 1100 * time.Millisecond
 	// moveTries bounds the engines tried as the destination of one move.
 	moveTries = 3
 )
@@ -143,9 +147,10 @@
 }
 
 func (one *run) destination(source *catalog.Endpoint, excluded map[string]bool) dispatch.Choice {
-	rqs := *one.request
-	rqs.excluded = excluded
-	return one.server.choose(one.server.Now(), &rqs, dispatch.Work{Tokens: one.work.Tokens}, true)
+	return one.server.decide(one.server.Now(), &dispatch.Request{
+		Service: one.service, Work: dispatch.Work{Tokens: one.work.Tokens}, Target: one.route.Target,
+		Source: source.FailureDomain, Excluded: excluded, Force: true,
+	})
 }
 
 // copyTo copies the memory while the generation runs, then stops it and copies the rest.
@@ -156,7 +161,7 @@
 	flt := one.server.begin(target.ID, dispatch.Work{Tokens: one.work.Tokens})
 	defer one.server.end(flt)
 	began := one.server.Now()
-	cpd, err := engines.Copy(ctx, source.Address, one.ID, target.Address, false)
+	cpd, rounds, err := one.copyRunning(ctx, source, target)
 	if err != nil {
 		log.WithError(err).WithField("elapsed", one.server.Now().Sub(began)).Info("generation could not be copied")
 		return false
@@ -167,10 +172,25 @@
 		cpd = rest
 	}
 	log.WithFields(logrus.Fields{
-		"copy": copied.Sub(began), "rest": one.server.Now().Sub(copied), "events": cpd.Events, "error": errorText(err),
+		"rounds": rounds, "copy": copied.Sub(began), "rest": one.server.Now().Sub(copied), "events": cpd.Events, "error": errorText(err),
 	}).Info("generation copied")
 	one.mutex.Lock()
 	one.copy = &copyAt{endpoint: target, name: engines.CopyName(source.Address, cpd.Handle)}
 	one.mutex.Unlock()
 	return true
 }
+
+// copyRunning copies the memory while the generation runs, again until little is new and the links are free:
+// the last copy, for which the generation stops, waits behind those of others.
+func (one *run) copyRunning(ctx context.Context, source, target *catalog.Endpoint) (cpd Copied, rounds int, err error) {
+	first := one.server.Now()
+	for began := first; ; {
+		rounds++
+		cpd, err = one.server.Engines.Copy(ctx, source.Address, one.ID, target.Address, false)
+		now := one.server.Now()
+		if err != nil || now.Sub(began) < shortCopy || now.Sub(first) > copyTime {
+			return cpd, rounds, err
+		}
+		began = now
+	}
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -170,12 +170,16 @@
 
 // choose picks an endpoint for the request.
 func (srv *Server) choose(now time.Time, rqs *request, wrk dispatch.Work, force bool) dispatch.Choice {
+	return srv.decide(now, &dispatch.Request{
+		Service: rqs.service, Work: wrk, Target: rqs.route.Target, Excluded: rqs.excluded, Force: force,
+	})
+}
+
+func (srv *Server) decide(now time.Time, req *dispatch.Request) dispatch.Choice {
 	snp := srv.Board.Snapshot()
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
-	return srv.Desk.Choose(now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), snp.Catalog, snp.Fleet, &dispatch.Request{
-		Service: rqs.service, Work: wrk, Target: rqs.route.Target, Excluded: rqs.excluded, Force: force,
-	})
+	return srv.Desk.Choose(now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), snp.Catalog, snp.Fleet, req)
 }
 
 // outgoing builds the request to an endpoint.
