Copy generations off a leaving engine in a planned order; reload on SIGHUP

Cause: first copies of all generations of a leaving engine queued on its link, and the short last copies behind them; with seven generations none was away in time. Change: daemons order the copies alike from the engine's report, smallest first, each begun when the one before should be done; SIGHUP reloads the settings.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -61,10 +61,27 @@
 	TokensPerEvent int
 	// Moves and Backups tell whether the memory of a running generation can be copied on request, or as it grows.
 	Moves, Backups bool
+	// TokenBytes is the size of one token's memory, and LinkBytesPerSecond the speed at which copies are sent.
+	TokenBytes, LinkBytesPerSecond float64
 	// CopyLifetime is how long an engine keeps a copy that nobody uses.
 	CopyLifetime time.Duration
 }
 
+// distantCopyFactor is how much longer a copy takes to an engine in another failure domain.
+const distantCopyFactor = 2
+
+// CopyTime is the time to copy the memory of some tokens over an idle link.
+func (eng *Engine) CopyTime(tokens int, distant bool) time.Duration {
+	if eng.LinkBytesPerSecond <= 0 {
+		return 0
+	}
+	seconds := float64(tokens) * eng.TokenBytes / eng.LinkBytesPerSecond
+	if distant {
+		seconds *= distantCopyFactor
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // Service is a set of interchangeable endpoints.
 type Service struct {
 	Name           string
--- a/catalog/fleet.go
+++ b/catalog/fleet.go
@@ -157,3 +157,14 @@
 	Endpoints map[string]Endpoint
 	Leaving   map[string]Mark
 }
+
+// HasNeighbour reports whether another endpoint of the service takes work in the same failure domain.
+func (vew FleetView) HasNeighbour(edp *Endpoint) bool {
+	for id, one := range vew.Endpoints {
+		_, leaving := vew.Leaving[id]
+		if id != edp.ID && !leaving && one.State == StateReady && one.Service == edp.Service && one.FailureDomain == edp.FailureDomain {
+			return true
+		}
+	}
+	return false
+}
--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -34,6 +34,11 @@
 	return &Budget{Daemons: 1, services: map[string]*budgetCounts{}}
 }
 
+// SetLimits changes the limits; what was counted stays.
+func (bud *Budget) SetLimits(ratio, extra float64, window time.Duration) {
+	bud.Ratio, bud.Extra, bud.Window = ratio, extra, window
+}
+
 // Request counts a caller's request for a service.
 func (bud *Budget) Request(now time.Time, service string) {
 	bud.step(now, service).requests++
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -100,7 +101,7 @@
 	srv := dmn.Server
 	srv.Board, srv.Logger = dmn.Control, dmn.Logger
 	srv.Desk.FailureDomain = set.FailureDomain
-	srv.Budget.Ratio, srv.Budget.Extra, srv.Budget.Window = set.Retries.Ratio, set.Retries.Extra, time.Duration(set.Retries.Window)
+	srv.Budget.SetLimits(set.Retries.Ratio, set.Retries.Extra, time.Duration(set.Retries.Window))
 	dmn.Exchange.Name, dmn.Exchange.Server, dmn.Exchange.Control, dmn.Exchange.Logger = set.Name, srv, dmn.Control, dmn.Logger
 	dmn.Control.Logger = dmn.Logger
 	srv.OnWork = dmn.Exchange.Work
@@ -123,7 +124,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: log.New(dmn.Logger.WriterLevel(logrus.DebugLevel), "", 0)}
 	grp.Go(func() error {
 		if err := srv.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
 			return trace.Wrap(err)
@@ -133,6 +134,20 @@
 	return srv, nil
 }
 
+// Reload takes over the settings that may change while the daemon runs: the retry budget and the log level.
+func (dmn *Daemon) Reload(set *settings.Gateway) {
+	dmn.Server.mutex.Lock()
+	dmn.Server.Budget.SetLimits(set.Retries.Ratio, set.Retries.Extra, time.Duration(set.Retries.Window))
+	dmn.Server.mutex.Unlock()
+	if level, err := logrus.ParseLevel(set.Log.Level); err == nil {
+		dmn.Logger.SetLevel(level)
+	}
+	old := dmn.Settings
+	restart := set.CallerAddress != old.CallerAddress || set.ReadyAddress != old.ReadyAddress ||
+		set.PeerAddress != old.PeerAddress || set.StoreAddress != old.StoreAddress
+	dmn.Logger.WithFields(logrus.Fields{"retries": set.Retries, "level": set.Log.Level, "needsRestart": restart}).Info("settings reloaded")
+}
+
 // answerReady tells the balancer whether the daemon takes callers.
 func (dmn *Daemon) answerReady(wri http.ResponseWriter, _ *http.Request) {
 	if dmn.draining.Load() || dmn.Control.Snapshot().Catalog == nil {
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -18,6 +18,10 @@
 	shortCopy = 80 * time.Millisecond
 	// copyTime bounds the copies of a running generation: the shortest notice is 1.5 s.
 	copyTime = 1100 * time.Millisecond
+	// moveInterval is the time between two tries to move the generations of one engine.
+	moveInterval = 250 * time.Millisecond
+	// reportTimeout bounds the wait for an engine's report.
+	reportTimeout = 150 * time.Millisecond
 	// moveTries bounds the engines tried as the destination of one move.
 	moveTries = 3
 )
@@ -30,10 +34,26 @@
 	Events int
 }
 
+// EngineRun is a generation in an engine's report.
+type EngineRun struct {
+	CallID         string
+	Tokens, Events int
+}
+
+// EngineReport is what an engine says of itself.
+type EngineReport struct {
+	Runs []EngineRun
+	// Leaves is true if the engine knows when it leaves, and LeavesIn is the time until then.
+	Leaves   bool
+	LeavesIn time.Duration
+}
+
 // Engines are the control calls of model engines.
 type Engines interface {
 	// Copy copies the memory of a running generation to another engine; last stops the generation first.
 	Copy(ctx context.Context, source, callID, target string, last bool) (Copied, error)
+	// Report asks an engine for its state.
+	Report(ctx context.Context, address string) (EngineReport, error)
 	// Drop frees a copy at both engines.
 	Drop(ctx context.Context, source, handle string) error
 	// CopyName returns the name under which a copy made at a source is used.
@@ -44,10 +64,11 @@
 type streams struct {
 	mutex      sync.Mutex
 	byEndpoint map[string]map[*run]bool
+	lookedAt   map[string]time.Time
 }
 
 func newStreams() *streams {
-	return &streams{byEndpoint: map[string]map[*run]bool{}}
+	return &streams{byEndpoint: map[string]map[*run]bool{}, lookedAt: map[string]time.Time{}}
 }
 
 func (sts *streams) add(one *run) {
@@ -66,35 +87,84 @@
 	defer sts.mutex.Unlock()
 	delete(sts.byEndpoint[one.endpoint.ID], one)
 	if len(sts.byEndpoint[one.endpoint.ID]) == 0 {
+		delete(sts.lookedAt, one.endpoint.ID)
 		delete(sts.byEndpoint, one.endpoint.ID)
 	}
 }
 
-func (sts *streams) at(id string) []*run {
+// movable returns the generations at an engine that can be moved; it looks at each engine once in a while only.
+func (sts *streams) movable(now time.Time, id string) []*run {
 	sts.mutex.Lock()
 	defer sts.mutex.Unlock()
+	if len(sts.byEndpoint[id]) == 0 || now.Sub(sts.lookedAt[id]) < moveInterval {
+		return nil
+	}
+	sts.lookedAt[id] = now
 	var runs []*run
 	for one := range sts.byEndpoint[id] {
-		runs = append(runs, one)
+		if one.movable {
+			runs = append(runs, one)
+		}
 	}
 	return runs
 }
 
 // EndpointLeaves moves the generations off an engine that leaves.
 func (srv *Server) EndpointLeaves(id string) {
-	for _, one := range srv.streams.at(id) {
-		if one.begins(id) {
-			go one.move(id)
+	runs := srv.streams.movable(srv.Now(), id)
+	if len(runs) == 0 {
+		return
+	}
+	var begun []*run
+	for _, one := range runs {
+		if one.begins() {
+			begun = append(begun, one)
 		}
 	}
+	if len(begun) > 0 {
+		go srv.moveAll(id, begun)
+	}
 }
 
-// begins marks the move as begun and reports whether it may go on.
-func (one *run) begins(id string) bool {
-	engine := one.server.Board.Snapshot().Catalog.Services[one.service].Engine
-	if engine == nil || !engine.Moves || one.route.Resumable {
-		return false
+// moveAll moves generations in an order that all daemons derive from the engine's report.
+// All copies leave over one link: one begun in its turn ends soon and stops its generation for a moment only, while
+// copies begun at once would all end late, and most of the short last copies would not be made in time.
+func (srv *Server) moveAll(id string, runs []*run) {
+	source, ok := srv.Board.Snapshot().Fleet.Endpoints[id]
+	if !ok {
+		for _, one := range runs {
+			one.logger.WithField("endpoint", id).Info("engine is gone; its generation can't be moved")
+			one.endMove()
+		}
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	rpt, err := srv.Engines.Report(ctx, source.Address)
+	if err != nil {
+		srv.Logger.WithError(err).WithField("endpoint", id).Info("engine did not report its generations")
+	}
+	starts := srv.moveStarts(&source, &rpt)
+	srv.Logger.WithFields(logrus.Fields{"endpoint": id, "own": len(runs), "all": len(rpt.Runs), "leavesIn": rpt.LeavesIn.String()}).Info("moving generations")
+	for _, one := range runs {
+		go func() {
+			sleep(one.http.Context(), starts[one.ID])
+			one.move(&source)
+		}()
 	}
+}
+
+// moveStarts returns when to begin the copy of each generation of an engine, the smallest first.
+func (srv *Server) moveStarts(source *catalog.Endpoint, rpt *EngineReport) map[string]time.Duration {
+	snp := srv.Board.Snapshot()
+	engine := snp.Catalog.Services[source.Service].Engine
+	return dispatch.CopyPlan(copies(rpt), func(tokens int) time.Duration {
+		return engine.CopyTime(tokens, !snp.Fleet.HasNeighbour(source))
+	})
+}
+
+// begins marks the move as begun and reports whether it may go on.
+func (one *run) begins() bool {
 	one.mutex.Lock()
 	defer one.mutex.Unlock()
 	if one.moving != nil {
@@ -105,29 +175,23 @@
 }
 
 // move copies the generation to another engine and stops it at the source.
-func (one *run) move(id string) {
+func (one *run) move(source *catalog.Endpoint) {
 	defer one.endMove()
 	ctx, cancel := context.WithDeadline(one.http.Context(), one.deadline)
 	defer cancel()
-	snp := one.server.Board.Snapshot()
-	source, ok := snp.Fleet.Endpoints[id]
-	if !ok {
-		one.logger.WithField("endpoint", id).Info("engine is gone; its generation can't be moved")
-		return
-	}
-	log := one.logger.WithField("from", id)
-	excluded := map[string]bool{id: true}
+	log := one.logger.WithField("from", source.ID)
+	excluded := map[string]bool{source.ID: true}
 	for range moveTries {
-		cho := one.destination(&source, excluded)
+		if ctx.Err() != nil {
+			return
+		}
+		cho := one.destination(source, excluded)
 		if cho.Endpoint == nil {
 			log.WithField("reason", cho.String()).Warn("no engine can take the generation")
 			return
 		}
 		excluded[cho.Endpoint.ID] = true
-		if one.copyTo(ctx, log.WithField("to", cho.Endpoint.ID), &source, cho.Endpoint) {
-			return
-		}
-		if ctx.Err() != nil {
+		if one.copyTo(ctx, log.WithField("to", cho.Endpoint.ID), source, cho.Endpoint) {
 			return
 		}
 	}
@@ -183,14 +247,24 @@
 // copyRunning copies the memory while the generation runs, again until little is new and the links are free:
 // the last copy, for which the generation stops, waits behind those of others.
 func (one *run) copyRunning(ctx context.Context, source, target *catalog.Endpoint) (cpd Copied, rounds int, err error) {
+	engine := one.server.Board.Snapshot().Catalog.Services[one.service].Engine
+	expected := engine.CopyTime(one.PromptTokens+one.events*engine.TokensPerEvent, source.FailureDomain != target.FailureDomain)
 	first := one.server.Now()
 	for began := first; ; {
 		rounds++
 		cpd, err = one.server.Engines.Copy(ctx, source.Address, one.ID, target.Address, false)
 		now := one.server.Now()
-		if err != nil || now.Sub(began) < shortCopy || now.Sub(first) > copyTime {
+		if err != nil || now.Sub(began) < expected+shortCopy || now.Sub(first) > copyTime {
 			return cpd, rounds, err
 		}
-		began = now
+		began, expected = now, 0
+	}
+}
+
+func copies(rpt *EngineReport) []dispatch.Copy {
+	var all []dispatch.Copy
+	for _, one := range rpt.Runs {
+		all = append(all, dispatch.Copy{ID: one.CallID, Tokens: one.Tokens})
 	}
+	return all
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -32,6 +32,8 @@
 	writer  http.ResponseWriter
 	control *http.ResponseController
 	work    dispatch.Work
+	// movable is true if the generation's memory can be copied to another engine.
+	movable bool
 
 	link     *Link
 	flight   *dispatch.Flight
@@ -62,6 +64,8 @@
 	rqs.logger.WithFields(logrus.Fields{"prompt": rqs.PromptTokens, "maxTokens": rqs.MaxTokens, "hint": rqs.LengthHint}).Debug("stream")
 	one := &run{request: rqs, server: srv, writer: wri, control: http.NewResponseController(wri), work: expectedWork(rqs)}
 	one.lastEvent = rqs.LastEvent
+	engine := srv.Board.Snapshot().Catalog.Services[rqs.service].Engine
+	one.movable = engine != nil && engine.Moves && !rqs.route.Resumable
 	ref := one.start(ctx)
 	if ref != nil || one.link == nil {
 		return ref
--- a/papayacroftd/cmd_gateway.go
+++ b/papayacroftd/cmd_gateway.go
@@ -1,6 +1,10 @@
 package main
 
 import (
+	"os"
+	"os/signal"
+	"syscall"
+
 	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
 
@@ -40,6 +44,26 @@
 	fol := platform.NewFollower(platform.NewStore(set.StoreAddress))
 	fol.Control, fol.Logger, fol.Name, fol.PeerAddress = dmn.Control, logger, set.Name, set.PeerAddress
 	dmn.Tasks = append(dmn.Tasks, fol.Tasks()...)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	go func() {
+		for range reloads {
+			reload(file, dmn)
+		}
+	}()
 	drain, _ := signalContexts(logger)
 	return trace.Wrap(dmn.Run(drain))
 }
+
+// reload reads the settings again; a file with findings changes nothing.
+func reload(file string, dmn *gateway.Daemon) {
+	set, lst, err := settings.LoadGateway(file)
+	if err == nil {
+		err = lst.Err()
+	}
+	if err != nil {
+		dmn.Logger.WithError(err).Warn("settings not reloaded")
+		return
+	}
+	dmn.Reload(set)
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -87,7 +87,7 @@
 	refuse := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "calls go from the dialling side only"}
 	})
-	fresh := jsonrpc2.NewConn(context.Background(), newStream(con, clt.Traffic), refuse)
+	fresh := jsonrpc2.NewConn(context.Background(), newStream(con, clt.Traffic), refuse, quiet)
 	clt.mutex.Lock()
 	defer clt.mutex.Unlock()
 	if rpc, ok := clt.conns[address]; ok && !isClosed(rpc) {
--- a/peer/server.go
+++ b/peer/server.go
@@ -49,7 +49,7 @@
 func (srv *Server) serveConn(ctx context.Context, con net.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	rpc := jsonrpc2.NewConn(ctx, newStream(con, srv.Traffic), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(srv.handle)))
+	rpc := jsonrpc2.NewConn(ctx, newStream(con, srv.Traffic), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(srv.handle)), quiet)
 	select {
 	case <-rpc.DisconnectNotify():
 	case <-ctx.Done():
--- a/peer/traffic.go
+++ b/peer/traffic.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"io"
+	"log"
 	"net"
 	"sync/atomic"
 
@@ -36,3 +38,7 @@
 func newStream(con net.Conn, trf *Traffic) jsonrpc2.ObjectStream {
 	return jsonrpc2.NewBufferedStream(&countedConn{Conn: con, traffic: trf}, jsonrpc2.VarintObjectCodec{})
 }
+
+// quiet keeps the library from writing to standard error when a connection ends before an answer is sent;
+// the calling side reports the failed call.
+var quiet = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
