Let one daemon read the store and tell the others; move off engines without an entry

Change: feeds of the topics listen to peers and read only what nobody read; the engines' entries are long-polled by one daemon. The run keeps its engine's address now.

--- a/catalog/fleet.go
+++ b/catalog/fleet.go
@@ -28,6 +28,13 @@
 	WarmAt time.Time
 }
 
+// SameAs reports whether two entries say the same but for the time at which the endpoint is warm.
+func (edp *Endpoint) SameAs(other *Endpoint) bool {
+	one, two := *edp, *other
+	one.WarmAt, two.WarmAt = time.Time{}, time.Time{}
+	return one == two
+}
+
 // Mark is a sign that one start of an endpoint leaves.
 type Mark struct {
 	At     time.Time
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +39,8 @@
 	Now    func() time.Time
 	// OnChange, if set, learns of each new snapshot.
 	OnChange func(snp *Snapshot)
+	// OnVersion, if set, learns that a newer configuration is in force.
+	OnVersion func()
 	// OnLeaving, if set, learns in each round of each endpoint that leaves and whether that is new.
 	OnLeaving func(id string, news bool)
 
@@ -117,6 +120,9 @@
 		return
 	}
 	ctl.catalog = pub.Catalog
+	if ctl.OnVersion != nil {
+		ctl.OnVersion()
+	}
 	ctl.Logger.WithFields(logrus.Fields{
 		"version": pub.Catalog.Version, "source": pub.Source, "routes": len(pub.Catalog.Routes),
 	}).Info("configuration in force")
@@ -184,12 +190,19 @@
 	}
 }
 
-// PeerList brings the addresses of the other daemons.
+// PeerList brings the addresses of other daemons.
 type PeerList struct {
 	Peers map[string]string
 }
 
-// Apply replaces the list.
+// Apply adds the daemons; those that are gone stop answering and are asked ever more rarely.
 func (pel PeerList) Apply(_ time.Time, ctl *Control) {
-	ctl.peers = pel.Peers
+	peers := maps.Clone(ctl.peers)
+	for name, address := range pel.Peers {
+		if peers[name] != address {
+			ctl.Logger.WithFields(logrus.Fields{"peer": name, "address": address}).Info("daemon known")
+		}
+		peers[name] = address
+	}
+	ctl.peers = peers
 }
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -63,7 +63,7 @@
 	grp, background := errgroup.WithContext(background)
 	grp.Go(func() error { dmn.Control.Run(background); return nil })
 	grp.Go(func() error { dmn.Exchange.Run(background); return nil })
-	grp.Go(func() error { dmn.Exchange.RunWork(background); return nil })
+	grp.Go(func() error { dmn.Exchange.RunNotices(background); return nil })
 	for _, tsk := range dmn.Tasks {
 		grp.Go(func() error { tsk(background); return nil })
 	}
@@ -105,6 +105,8 @@
 	dmn.Exchange.Name, dmn.Exchange.Server, dmn.Exchange.Control, dmn.Exchange.Logger = set.Name, srv, dmn.Control, dmn.Logger
 	dmn.Control.Logger = dmn.Logger
 	srv.OnWork = dmn.Exchange.Work
+	dmn.Exchange.Address = set.PeerAddress
+	dmn.Control.OnVersion = dmn.Exchange.News
 	dmn.Control.OnLeaving = func(id string, news bool) {
 		if news {
 			dmn.Exchange.News()
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -17,6 +18,7 @@
 const (
 	exchangeMethod = "gateway.exchange"
 	workMethod     = "gateway.work"
+	topicMethod    = "gateway.topic"
 	// workDelay gathers the generations that are sent at about the same time in one message.
 	workDelay = 3 * time.Millisecond
 	// exchangeInterval is the time between two rounds of messages to some peers.
@@ -27,13 +29,20 @@
 	newsPeers = 16
 	// exchangeTimeout bounds one message.
 	exchangeTimeout = 600 * time.Millisecond
+	// notifyTimeout bounds a message without an answer.
+	notifyTimeout = 100 * time.Millisecond
+	// minPeerPause and maxPeerPause bound the time for which a peer that does not answer is left alone.
+	minPeerPause = 300 * time.Millisecond
+	maxPeerPause = 5 * time.Second
 	// newsAge is how long an endpoint's leaving is told.
 	newsAge = 10 * time.Second
 )
 
 // message is what daemons tell each other.
 type message struct {
-	Name    string                    `json:"name"`
+	Name string `json:"name"`
+	// Address is where the sender takes messages.
+	Address string                    `json:"address,omitempty"`
 	Version int64                     `json:"version"`
 	Usage   map[string]dispatch.Usage `json:"usage,omitempty"`
 	// Leaving has the starts of endpoints that leave, by id.
@@ -49,7 +58,9 @@
 
 // Exchange tells other daemons what this one knows and learns from them.
 type Exchange struct {
-	Name    string
+	Name, Address string
+	// Feeds are the followed topics by name.
+	Feeds   map[string]*Feed
 	Server  *Server
 	Control *Control
 	Client  *peer.Client
@@ -58,13 +69,25 @@
 	Parse func(data []byte) (*catalog.Catalog, error)
 	Now   func() time.Time
 
-	news chan struct{}
-	work chan struct{}
+	news  chan struct{}
+	work  chan struct{}
+	parts chan *TopicPart
+
+	mutex sync.Mutex
+	// failures are the peers that did not answer.
+	failures map[string]*peerFailure
+}
+
+// peerFailure says how long a peer that did not answer is left alone.
+type peerFailure struct {
+	pause time.Duration
+	until time.Time
 }
 
 // NewExchange returns an exchange that needs its exported fields set before Run.
 func NewExchange() *Exchange {
-	return &Exchange{Client: peer.NewClient(), Now: time.Now, news: make(chan struct{}, 1), work: make(chan struct{}, 1)}
+	return &Exchange{Client: peer.NewClient(), Now: time.Now, news: make(chan struct{}, 1), work: make(chan struct{}, 1),
+		parts: make(chan *TopicPart, feedBuffer), Feeds: map[string]*Feed{}, failures: map[string]*peerFailure{}}
 }
 
 // Register adds the method to a peer server.
@@ -84,6 +107,24 @@
 		exc.takeUsage(&msg)
 		return nil, nil
 	}
+	srv.Handlers[topicMethod] = func(_ context.Context, params json.RawMessage) (any, error) {
+		var part TopicPart
+		if err := json.Unmarshal(params, &part); err != nil {
+			return nil, trace.BadParameter("part of a topic is not valid: %v", err)
+		}
+		if fed, ok := exc.Feeds[part.Topic]; ok {
+			fed.Hear(&part)
+		}
+		return nil, nil
+	}
+}
+
+// ShareTopic tells the peers what this daemon read; it does not block.
+func (exc *Exchange) ShareTopic(part *TopicPart) {
+	select {
+	case exc.parts <- part:
+	default:
+	}
 }
 
 // Work asks to tell the peers at once what this daemon has at the engines.
@@ -119,33 +160,60 @@
 	}
 }
 
-// RunWork tells the peers of new generations until the context ends.
-func (exc *Exchange) RunWork(ctx context.Context) {
+// RunNotices tells the peers of new generations and of what was read from the store, until the context ends.
+func (exc *Exchange) RunNotices(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-exc.work:
+			sleep(ctx, workDelay)
+			exc.notify(ctx, workMethod, &message{Name: exc.Name, Usage: exc.usage()})
+		case part := <-exc.parts:
+			exc.notify(ctx, topicMethod, part)
 		}
-		sleep(ctx, workDelay)
-		msg := &message{Name: exc.Name, Usage: exc.usage()}
-		for _, address := range exc.addresses(newsPeers) {
-			notifyCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-			if err := exc.Client.Notify(notifyCtx, address, workMethod, msg); err != nil {
-				exc.Logger.WithError(err).WithField("peer", address).Debug("peer was not told")
-			}
-			cancel()
-		}
 	}
 }
 
+func (exc *Exchange) notify(ctx context.Context, method string, params any) {
+	for _, address := range exc.addresses(newsPeers) {
+		notifyCtx, cancel := context.WithTimeout(ctx, notifyTimeout)
+		err := exc.Client.Notify(notifyCtx, address, method, params)
+		cancel()
+		exc.noteAnswer(address, err)
+	}
+}
+
+// noteAnswer leaves a peer that does not answer alone for a time that grows.
+func (exc *Exchange) noteAnswer(address string, err error) {
+	exc.mutex.Lock()
+	defer exc.mutex.Unlock()
+	if err == nil {
+		delete(exc.failures, address)
+		return
+	}
+	fai, ok := exc.failures[address]
+	if !ok {
+		fai = &peerFailure{pause: minPeerPause}
+		exc.failures[address] = fai
+		exc.Logger.WithError(err).WithField("peer", address).Info("peer does not answer")
+	}
+	fai.until = exc.Now().Add(fai.pause)
+	fai.pause = min(2*fai.pause, maxPeerPause)
+}
+
 // addresses returns some peers in random order.
 func (exc *Exchange) addresses(count int) []string {
 	snp := exc.Control.Snapshot()
 	addresses := make([]string, 0, len(snp.Peers))
+	now := exc.Now()
+	exc.mutex.Lock()
 	for _, address := range snp.Peers {
-		addresses = append(addresses, address)
+		if fai, ok := exc.failures[address]; !ok || now.After(fai.until) {
+			addresses = append(addresses, address)
+		}
 	}
+	exc.mutex.Unlock()
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	return addresses[:min(count, len(addresses))]
 }
@@ -171,7 +239,7 @@
 }
 
 func (exc *Exchange) compose(snp *Snapshot) *message {
-	return &message{Name: exc.Name, Version: version(snp), Usage: exc.usage(), Leaving: exc.leaving(snp)}
+	return &message{Name: exc.Name, Address: exc.Address, Version: version(snp), Usage: exc.usage(), Leaving: exc.leaving(snp)}
 }
 
 func (exc *Exchange) leaving(snp *Snapshot) map[string]int64 {
@@ -188,8 +256,9 @@
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var reply messageReply
-	if err := exc.Client.Call(callCtx, address, exchangeMethod, msg, &reply); err != nil {
-		exc.Logger.WithError(err).WithField("peer", address).Debug("peer did not answer")
+	err := exc.Client.Call(callCtx, address, exchangeMethod, msg, &reply)
+	exc.noteAnswer(address, err)
+	if err != nil {
 		return
 	}
 	if len(reply.Leaving) > 0 {
@@ -209,6 +278,9 @@
 func (exc *Exchange) receive(ctx context.Context, msg *message) *messageReply {
 	exc.takeUsage(msg)
 	snp := exc.Control.Snapshot()
+	if msg.Address != "" && msg.Address != snp.Peers[msg.Name] {
+		exc.Control.Send(ctx, PeerList{Peers: map[string]string{msg.Name: msg.Address}})
+	}
 	if len(msg.Leaving) > 0 {
 		exc.Control.Send(ctx, Leaving{BornAt: msg.Leaving, Source: msg.Name})
 	}
--- /dev/null
+++ b/gateway/feed.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// unread is the offset of a topic that has not been read whole.
+	unread = int64(-1)
+	// hearSlack is how long after a peer should have read a topic a daemon reads it itself,
+	// and hearSpread keeps daemons from doing so at once.
+	hearSlack  = 150 * time.Millisecond
+	hearSpread = 300 * time.Millisecond
+	// minFeedPause and maxFeedPause bound the pause after a read that failed.
+	minFeedPause = 100 * time.Millisecond
+	maxFeedPause = 800 * time.Millisecond
+	// gapPause lets the other parts of a topic arrive before a gap is read.
+	gapPause   = 30 * time.Millisecond
+	feedBuffer = 16
+)
+
+// Record is the newest value of a key; a nil value means that the key was dropped.
+type Record struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value,omitempty"`
+}
+
+// TopicReader reads the topics of the store.
+type TopicReader interface {
+	// Newest returns the newest record of each key and the offset at which to go on.
+	Newest(ctx context.Context, topic string) (records []Record, next int64, err error)
+	// Read returns the records from an offset on, waiting for the first up to a time.
+	Read(ctx context.Context, topic string, from int64, wait time.Duration) (records []Record, next int64, err error)
+}
+
+// TopicPart is what one daemon read of a topic, as it tells the others.
+type TopicPart struct {
+	Topic   string   `json:"topic"`
+	From    int64    `json:"from"`
+	Next    int64    `json:"next"`
+	Records []Record `json:"records,omitempty"`
+}
+
+// IsTrimmed reports whether records were deleted before they were read.
+func IsTrimmed(err error) bool {
+	return trace.IsNotFound(err)
+}
+
+// Feed follows one topic. Calls to the store are limited and priced, so one daemon reads and tells the others;
+// the others read when they have heard nothing for a while, and what they missed.
+type Feed struct {
+	Topic string
+	// Wait is the time for which a read waits for records, and Interval the pause between two reads.
+	Wait, Interval time.Duration
+	Reader         TopicReader
+	Control        *Control
+	Logger         logrus.FieldLogger
+	Now            func() time.Time
+	// Apply takes in records and returns those that other daemons need.
+	Apply func(ctx context.Context, records []Record, whole bool) []Record
+	// Share tells the other daemons.
+	Share func(part *TopicPart)
+
+	next  int64
+	pause time.Duration
+	due   time.Time
+	parts chan *TopicPart
+}
+
+// NewFeed returns a feed that needs its exported fields set before Run.
+func NewFeed() *Feed {
+	return &Feed{Now: time.Now, next: unread, pause: minFeedPause, parts: make(chan *TopicPart, feedBuffer)}
+}
+
+// Hear takes in what another daemon read; it does not block.
+func (fed *Feed) Hear(part *TopicPart) {
+	select {
+	case fed.parts <- part:
+	default:
+	}
+}
+
+// Run follows the topic until the context ends.
+func (fed *Feed) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		tmr := time.NewTimer(fed.due.Sub(fed.Now()))
+		select {
+		case <-ctx.Done():
+		case part := <-fed.parts:
+			fed.hear(ctx, part)
+		case <-tmr.C:
+			fed.read(ctx)
+		}
+		tmr.Stop()
+	}
+}
+
+// read reads the topic and tells the other daemons.
+func (fed *Feed) read(ctx context.Context) {
+	from := fed.next
+	whole := from == unread
+	var records []Record
+	var next int64
+	var err error
+	if whole {
+		records, next, err = fed.Reader.Newest(ctx, fed.Topic)
+	} else {
+		records, next, err = fed.Reader.Read(ctx, fed.Topic, from, fed.Wait)
+	}
+	now := fed.Now()
+	switch {
+	case ctx.Err() != nil:
+		return
+	case err != nil && IsTrimmed(err):
+		fed.Logger.WithFields(logrus.Fields{"topic": fed.Topic, "from": from}).Info("records expired; reading the topic whole")
+		fed.next, fed.due = unread, now
+		return
+	case err != nil:
+		fed.Control.Send(ctx, StoreRead{Err: err})
+		fed.due = now.Add(spread(fed.pause))
+		fed.pause = min(2*fed.pause, maxFeedPause)
+		return
+	}
+	fed.pause, fed.next, fed.due = minFeedPause, next, now.Add(fed.Interval)
+	fed.Control.Send(ctx, StoreRead{})
+	if whole || len(records) > 0 {
+		records = fed.Apply(ctx, records, whole)
+	}
+	if !whole {
+		fed.Share(&TopicPart{Topic: fed.Topic, From: from, Next: next, Records: records})
+	}
+}
+
+// hear takes in what another daemon read, or reads what was missed before it.
+func (fed *Feed) hear(ctx context.Context, part *TopicPart) {
+	now := fed.Now()
+	switch {
+	case fed.next == unread || part.Next < fed.next:
+		return
+	case part.From > fed.next:
+		fed.due = now.Add(gapPause)
+		return
+	case part.Next > fed.next:
+		fed.Apply(ctx, part.Records, false)
+	}
+	fed.next, fed.pause = part.Next, minFeedPause
+	fed.due = now.Add(fed.Wait + fed.Interval + hearSlack + time.Duration(rand.Int64N(int64(hearSpread))))
+	fed.Control.Send(ctx, StoreRead{})
+}
+
+// spread varies a pause, so that daemons don't call the store all at once.
+func spread(pause time.Duration) time.Duration {
+	return time.Duration((0.7 + 0.6*rand.Float64()) * float64(pause))
+}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -63,12 +63,12 @@
 // streams are the generations being relayed, by engine.
 type streams struct {
 	mutex      sync.Mutex
-	byEndpoint map[string]map[*run]bool
+	byEndpoint map[string]map[*run]catalog.Endpoint
 	lookedAt   map[string]time.Time
 }
 
 func newStreams() *streams {
-	return &streams{byEndpoint: map[string]map[*run]bool{}, lookedAt: map[string]time.Time{}}
+	return &streams{byEndpoint: map[string]map[*run]catalog.Endpoint{}, lookedAt: map[string]time.Time{}}
 }
 
 func (sts *streams) add(one *run) {
@@ -76,10 +76,10 @@
 	defer sts.mutex.Unlock()
 	set, ok := sts.byEndpoint[one.endpoint.ID]
 	if !ok {
-		set = map[*run]bool{}
+		set = map[*run]catalog.Endpoint{}
 		sts.byEndpoint[one.endpoint.ID] = set
 	}
-	set[one] = true
+	set[one] = *one.endpoint
 }
 
 func (sts *streams) remove(one *run) {
@@ -93,28 +93,24 @@
 }
 
 // movable returns the generations at an engine that can be moved; it looks at each engine once in a while only.
-func (sts *streams) movable(now time.Time, id string) []*run {
+func (sts *streams) movable(now time.Time, id string) (source catalog.Endpoint, runs []*run) {
 	sts.mutex.Lock()
 	defer sts.mutex.Unlock()
 	if len(sts.byEndpoint[id]) == 0 || now.Sub(sts.lookedAt[id]) < moveInterval {
-		return nil
+		return source, nil
 	}
 	sts.lookedAt[id] = now
-	var runs []*run
-	for one := range sts.byEndpoint[id] {
+	for one, edp := range sts.byEndpoint[id] {
 		if one.movable {
-			runs = append(runs, one)
+			source, runs = edp, append(runs, one)
 		}
 	}
-	return runs
+	return source, runs
 }
 
 // EndpointLeaves moves the generations off an engine that leaves.
 func (srv *Server) EndpointLeaves(id string) {
-	runs := srv.streams.movable(srv.Now(), id)
-	if len(runs) == 0 {
-		return
-	}
+	source, runs := srv.streams.movable(srv.Now(), id)
 	var begun []*run
 	for _, one := range runs {
 		if one.begins() {
@@ -122,30 +118,23 @@
 		}
 	}
 	if len(begun) > 0 {
-		go srv.moveAll(id, begun)
+		go srv.moveAll(source, begun)
 	}
 }
 
 // moveAll moves generations in an order that all daemons derive from the engine's report.
 // All copies leave over one link: one begun in its turn ends soon and stops its generation for a moment only, while
 // copies begun at once would all end late, and most of the short last copies would not be made in time.
-func (srv *Server) moveAll(id string, runs []*run) {
-	source, ok := srv.Board.Snapshot().Fleet.Endpoints[id]
-	if !ok {
-		for _, one := range runs {
-			one.logger.WithField("endpoint", id).Info("engine is gone; its generation can't be moved")
-			one.endMove()
-		}
-		return
-	}
+// The engine's entry may be gone already while it still serves.
+func (srv *Server) moveAll(source catalog.Endpoint, runs []*run) {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
 	rpt, err := srv.Engines.Report(ctx, source.Address)
 	if err != nil {
-		srv.Logger.WithError(err).WithField("endpoint", id).Info("engine did not report its generations")
+		srv.Logger.WithError(err).WithField("endpoint", source.ID).Info("engine did not report its generations")
 	}
 	starts := srv.moveStarts(&source, &rpt)
-	srv.Logger.WithFields(logrus.Fields{"endpoint": id, "own": len(runs), "all": len(rpt.Runs), "leavesIn": rpt.LeavesIn.String()}).Info("moving generations")
+	srv.Logger.WithFields(logrus.Fields{"endpoint": source.ID, "own": len(runs), "all": len(rpt.Runs), "leavesIn": rpt.LeavesIn.String()}).Info("moving generations")
 	for _, one := range runs {
 		go func() {
 			sleep(one.http.Context(), starts[one.ID])
--- a/papayacroftd/cmd_gateway.go
+++ b/papayacroftd/cmd_gateway.go
@@ -42,7 +42,7 @@
 	dmn.Server.Wire, dmn.Server.Engines = platform.Headers{}, platform.NewEngines()
 	dmn.Exchange.Parse = platform.ParseCatalog
 	fol := platform.NewFollower(platform.NewStore(set.StoreAddress))
-	fol.Control, fol.Logger, fol.Name, fol.PeerAddress = dmn.Control, logger, set.Name, set.PeerAddress
+	fol.Control, fol.Exchange, fol.Logger, fol.Name, fol.PeerAddress = dmn.Control, dmn.Exchange, logger, set.Name, set.PeerAddress
 	dmn.Tasks = append(dmn.Tasks, fol.Tasks()...)
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
