Ask engines whether they leave while the store is away

Change: when no daemon has read the store for 1.3 s, each engine is asked by one daemon each 250 ms.

--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -40,6 +40,7 @@
 	Server   *Server
 	Control  *Control
 	Exchange *Exchange
+	Prober   *Prober
 	// Tasks run in the background until the daemon stops.
 	Tasks []func(ctx context.Context)
 
@@ -48,7 +49,7 @@
 
 // NewDaemon returns a daemon that needs its exported fields set before Run.
 func NewDaemon() *Daemon {
-	return &Daemon{Server: NewServer(), Control: NewControl(), Exchange: NewExchange()}
+	return &Daemon{Server: NewServer(), Control: NewControl(), Exchange: NewExchange(), Prober: NewProber()}
 }
 
 // Run serves until the context ends, then finishes the requests in flight.
@@ -63,6 +64,7 @@
 	grp, background := errgroup.WithContext(background)
 	grp.Go(func() error { dmn.Control.Run(background); return nil })
 	grp.Go(func() error { dmn.Exchange.Run(background); return nil })
+	grp.Go(func() error { dmn.Prober.Run(background); return nil })
 	grp.Go(func() error { dmn.Exchange.RunNotices(background); return nil })
 	for _, tsk := range dmn.Tasks {
 		grp.Go(func() error { tsk(background); return nil })
@@ -105,6 +107,7 @@
 	dmn.Exchange.Name, dmn.Exchange.Server, dmn.Exchange.Control, dmn.Exchange.Logger = set.Name, srv, dmn.Control, dmn.Logger
 	dmn.Control.Logger = dmn.Logger
 	srv.OnWork = dmn.Exchange.Work
+	dmn.Prober.Name, dmn.Prober.Control, dmn.Prober.Exchange, dmn.Prober.Engines, dmn.Prober.Logger = set.Name, dmn.Control, dmn.Exchange, srv.Engines, dmn.Logger
 	dmn.Exchange.Address = set.PeerAddress
 	dmn.Control.OnVersion = dmn.Exchange.News
 	dmn.Control.OnLeaving = func(id string, news bool) {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -218,6 +218,19 @@
 	return addresses[:min(count, len(addresses))]
 }
 
+// Answering returns the names of the peers that answered last.
+func (exc *Exchange) Answering() []string {
+	var names []string
+	exc.mutex.Lock()
+	defer exc.mutex.Unlock()
+	for name, address := range exc.Control.Snapshot().Peers {
+		if exc.failures[address] == nil {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 func (exc *Exchange) usage() map[string]dispatch.Usage {
 	exc.Server.mutex.Lock()
 	defer exc.Server.mutex.Unlock()
