Turn long generations away from a daemon that stops when another can take them

Turning all away lost those of daemons alone in their failure domain, whose callers came back to them. Change: daemons tell each other their failure domain and that they drain; a caller is turned away only if it can be served in time after it comes back.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -22,8 +22,8 @@
 	// Catalog is nil until a configuration is known.
 	Catalog *catalog.Catalog
 	Fleet   catalog.FleetView
-	// Peers are the addresses of other daemons by name.
-	Peers map[string]string
+	// Peers are the other daemons by name.
+	Peers map[string]Peer
 	// StoreReadAt is when the store last answered.
 	StoreReadAt time.Time
 }
@@ -46,7 +46,7 @@
 
 	catalog     *catalog.Catalog
 	fleet       *catalog.Fleet
-	peers       map[string]string
+	peers       map[string]Peer
 	storeReadAt time.Time
 	storeLost   bool
 	inputs      chan Input
@@ -56,7 +56,7 @@
 // NewControl returns a control goroutine that knows nothing yet.
 func NewControl() *Control {
 	ctl := &Control{
-		Now: time.Now, fleet: catalog.NewFleet(), peers: map[string]string{}, inputs: make(chan Input, inputBuffer),
+		Now: time.Now, fleet: catalog.NewFleet(), peers: map[string]Peer{}, inputs: make(chan Input, inputBuffer),
 	}
 	ctl.snapshot.Store(&Snapshot{})
 	return ctl
@@ -190,19 +190,27 @@
 	}
 }
 
-// PeerList brings the addresses of other daemons.
+// Peer is another daemon.
+type Peer struct {
+	Address       string
+	FailureDomain string
+	// Draining is true if the daemon is about to stop.
+	Draining bool
+}
+
+// PeerList brings other daemons by name.
 type PeerList struct {
-	Peers map[string]string
+	Peers map[string]Peer
 }
 
 // Apply adds the daemons; those that are gone stop answering and are asked ever more rarely.
 func (pel PeerList) Apply(_ time.Time, ctl *Control) {
 	peers := maps.Clone(ctl.peers)
-	for name, address := range pel.Peers {
-		if peers[name] != address {
-			ctl.Logger.WithFields(logrus.Fields{"peer": name, "address": address}).Info("daemon known")
+	for name, per := range pel.Peers {
+		if peers[name] != per {
+			ctl.Logger.WithFields(logrus.Fields{"peer": name, "address": per.Address, "draining": per.Draining}).Info("daemon known")
 		}
-		peers[name] = address
+		peers[name] = per
 	}
 	ctl.peers = peers
 }
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -43,8 +42,6 @@
 	Prober   *Prober
 	// Tasks run in the background until the daemon stops.
 	Tasks []func(ctx context.Context)
-
-	draining atomic.Bool
 }
 
 // NewDaemon returns a daemon that needs its exported fields set before Run.
@@ -106,6 +103,8 @@
 	srv.Budget.SetLimits(set.Retries.Ratio, set.Retries.Extra, time.Duration(set.Retries.Window))
 	dmn.Exchange.Name, dmn.Exchange.Server, dmn.Exchange.Control, dmn.Exchange.Logger = set.Name, srv, dmn.Control, dmn.Logger
 	dmn.Control.Logger = dmn.Logger
+	dmn.Exchange.FailureDomain = set.FailureDomain
+	srv.HasNeighbour = dmn.Exchange.HasNeighbour
 	srv.OnWork = dmn.Exchange.Work
 	dmn.Prober.Name, dmn.Prober.Control, dmn.Prober.Exchange, dmn.Prober.Engines, dmn.Prober.Logger = set.Name, dmn.Control, dmn.Exchange, srv.Engines, dmn.Logger
 	dmn.Exchange.Address = set.PeerAddress
@@ -155,7 +154,7 @@
 
 // answerReady tells the balancer whether the daemon takes callers.
 func (dmn *Daemon) answerReady(wri http.ResponseWriter, _ *http.Request) {
-	if dmn.draining.Load() || dmn.Control.Snapshot().Catalog == nil {
+	if dmn.Server.Draining() || dmn.Control.Snapshot().Catalog == nil {
 		wri.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -165,7 +164,8 @@
 // drain takes requests until the balancer has noticed, and then finishes those in flight.
 func (dmn *Daemon) drain(callers *http.Server) {
 	began := time.Now()
-	dmn.draining.Store(true)
+	dmn.Server.drainingSince.Store(began.UnixNano())
+	dmn.Exchange.News()
 	dmn.Logger.WithField("inFlight", dmn.Server.InFlight()).Info("draining")
 	time.Sleep(unreadyTime)
 	callers.SetKeepAlivesEnabled(false)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -42,9 +42,11 @@
 type message struct {
 	Name string `json:"name"`
 	// Address is where the sender takes messages.
-	Address string                    `json:"address,omitempty"`
-	Version int64                     `json:"version"`
-	Usage   map[string]dispatch.Usage `json:"usage,omitempty"`
+	Address       string                    `json:"address,omitempty"`
+	FailureDomain string                    `json:"failureDomain,omitempty"`
+	Draining      bool                      `json:"draining,omitempty"`
+	Version       int64                     `json:"version"`
+	Usage         map[string]dispatch.Usage `json:"usage,omitempty"`
 	// Leaving has the starts of endpoints that leave, by id.
 	Leaving map[string]int64 `json:"leaving,omitempty"`
 }
@@ -58,7 +60,7 @@
 
 // Exchange tells other daemons what this one knows and learns from them.
 type Exchange struct {
-	Name, Address string
+	Name, Address, FailureDomain string
 	// Feeds are the followed topics by name.
 	Feeds   map[string]*Feed
 	Server  *Server
@@ -208,9 +210,9 @@
 	addresses := make([]string, 0, len(snp.Peers))
 	now := exc.Now()
 	exc.mutex.Lock()
-	for _, address := range snp.Peers {
-		if fai, ok := exc.failures[address]; !ok || now.After(fai.until) {
-			addresses = append(addresses, address)
+	for _, per := range snp.Peers {
+		if fai, ok := exc.failures[per.Address]; !ok || now.After(fai.until) {
+			addresses = append(addresses, per.Address)
 		}
 	}
 	exc.mutex.Unlock()
@@ -218,17 +220,27 @@
 	return addresses[:min(count, len(addresses))]
 }
 
-// Answering returns the names of the peers that answered last.
-func (exc *Exchange) Answering() []string {
-	var names []string
+// Answering returns the peers that answered last, by name.
+func (exc *Exchange) Answering() map[string]Peer {
+	answering := map[string]Peer{}
 	exc.mutex.Lock()
 	defer exc.mutex.Unlock()
-	for name, address := range exc.Control.Snapshot().Peers {
-		if exc.failures[address] == nil {
-			names = append(names, name)
+	for name, per := range exc.Control.Snapshot().Peers {
+		if exc.failures[per.Address] == nil {
+			answering[name] = per
 		}
 	}
-	return names
+	return answering
+}
+
+// HasNeighbour reports whether another daemon of the failure domain takes callers.
+func (exc *Exchange) HasNeighbour() bool {
+	for _, per := range exc.Answering() {
+		if per.FailureDomain == exc.FailureDomain && !per.Draining {
+			return true
+		}
+	}
+	return false
 }
 
 func (exc *Exchange) usage() map[string]dispatch.Usage {
@@ -252,7 +264,10 @@
 }
 
 func (exc *Exchange) compose(snp *Snapshot) *message {
-	return &message{Name: exc.Name, Address: exc.Address, Version: version(snp), Usage: exc.usage(), Leaving: exc.leaving(snp)}
+	return &message{
+		Name: exc.Name, Address: exc.Address, FailureDomain: exc.FailureDomain, Draining: exc.Server.Draining(),
+		Version: version(snp), Usage: exc.usage(), Leaving: exc.leaving(snp),
+	}
 }
 
 func (exc *Exchange) leaving(snp *Snapshot) map[string]int64 {
@@ -291,8 +306,9 @@
 func (exc *Exchange) receive(ctx context.Context, msg *message) *messageReply {
 	exc.takeUsage(msg)
 	snp := exc.Control.Snapshot()
-	if msg.Address != "" && msg.Address != snp.Peers[msg.Name] {
-		exc.Control.Send(ctx, PeerList{Peers: map[string]string{msg.Name: msg.Address}})
+	per := Peer{Address: msg.Address, FailureDomain: msg.FailureDomain, Draining: msg.Draining}
+	if per != snp.Peers[msg.Name] {
+		exc.Control.Send(ctx, PeerList{Peers: map[string]Peer{msg.Name: per}})
 	}
 	if len(msg.Leaving) > 0 {
 		exc.Control.Send(ctx, Leaving{BornAt: msg.Leaving, Source: msg.Name})
--- a/gateway/prober.go
+++ b/gateway/prober.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -47,7 +49,7 @@
 		if snp.Catalog == nil || prb.Now().Sub(snp.StoreReadAt) < storeSilence {
 			continue
 		}
-		members := append(prb.Exchange.Answering(), prb.Name)
+		members := append(slices.Collect(maps.Keys(prb.Exchange.Answering())), prb.Name)
 		for _, edp := range probed(snp, prb.Name, members) {
 			go prb.probe(ctx, edp)
 		}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -19,6 +19,10 @@
 const (
 	// noCatalogRetry is when a caller may ask a daemon again that knows no configuration yet.
 	noCatalogRetry = 500 * time.Millisecond
+	// drainingRetry is when a caller may come back, to another daemon, from one that is stopping.
+	drainingRetry = 20 * time.Millisecond
+	// usualFirstEvent is the usual time to the first event of a generation.
+	usualFirstEvent = 500 * time.Millisecond
 	// defaultDeadline bounds requests of routes without a timeout.
 	defaultDeadline = time.Minute
 	// defaultMaxBodyBytes applies if the configuration has no limit.
@@ -43,13 +47,17 @@
 	Budget  *dispatch.Budget
 	Logger  logrus.FieldLogger
 	Now     func() time.Time
+	// HasNeighbour, if set, reports whether another daemon of the failure domain takes callers.
+	HasNeighbour func() bool
 	// OnWork, if set, learns that a generation was sent to an engine; it must not block.
 	OnWork func()
 
 	// mutex guards the desk and the budget.
 	mutex    sync.Mutex
 	inFlight atomic.Int64
-	streams  *streams
+	// drainingSince is the time of the signal to stop in Unix nanoseconds, 0 before.
+	drainingSince atomic.Int64
+	streams       *streams
 }
 
 // NewServer returns a server that uses the present time.
@@ -130,6 +138,9 @@
 			rqs.rank = org.Priority
 		}
 	}
+	if ref := srv.refuseDraining(now, rou); ref != nil {
+		return ref
+	}
 	rqs.service = rou.Pick(rand.Float64())
 	wait := rou.Timeout
 	if wait <= 0 {
@@ -146,6 +157,28 @@
 	return srv.readBody(now, wri, rqs, cat.Limits.MaxBodyBytes)
 }
 
+// Draining reports whether the daemon is about to stop.
+func (srv *Server) Draining() bool {
+	return srv.drainingSince.Load() != 0
+}
+
+// refuseDraining turns away generations that would hardly end before the daemon stops.
+// A caller that comes back reaches another daemon of the failure domain, or one elsewhere once the balancer has noticed.
+func (srv *Server) refuseDraining(now time.Time, rou *catalog.Route) *refusal {
+	since := srv.drainingSince.Load()
+	if since == 0 || rou.Kind != catalog.KindStream || rou.Resumable {
+		return nil
+	}
+	wait := drainingRetry
+	if srv.HasNeighbour == nil || !srv.HasNeighbour() {
+		wait = max(wait, unreadyTime-now.Sub(time.Unix(0, since)))
+	}
+	if wait+usualFirstEvent > rou.Target {
+		return nil
+	}
+	return notRun(wait, "this daemon is stopping")
+}
+
 func (srv *Server) readBody(now time.Time, wri http.ResponseWriter, rqs *request, limit int64) *refusal {
 	if rqs.http.Body == nil || rqs.http.Body == http.NoBody {
 		return nil
--- a/papayacroftd/cmd_gateway.go
+++ b/papayacroftd/cmd_gateway.go
@@ -43,6 +43,7 @@
 	dmn.Exchange.Parse = platform.ParseCatalog
 	fol := platform.NewFollower(platform.NewStore(set.StoreAddress))
 	fol.Control, fol.Exchange, fol.Logger, fol.Name, fol.PeerAddress = dmn.Control, dmn.Exchange, logger, set.Name, set.PeerAddress
+	fol.FailureDomain = set.FailureDomain
 	dmn.Tasks = append(dmn.Tasks, fol.Tasks()...)
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
