--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -103,6 +103,7 @@
 	srv.Budget.SetLimits(set.Retries.Ratio, set.Retries.Extra, time.Duration(set.Retries.Window))
 	dmn.Exchange.Name, dmn.Exchange.Server, dmn.Exchange.Control, dmn.Exchange.Logger = set.Name, srv, dmn.Control, dmn.Logger
 	dmn.Control.Logger = dmn.Logger
+	srv.DrainNotice = time.Duration(set.DrainNotice) - exitMargin
 	dmn.Exchange.FailureDomain = set.FailureDomain
 	srv.HasNeighbour = dmn.Exchange.HasNeighbour
 	srv.OnWork = dmn.Exchange.Work
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"net/http"
 )
 
 const (
@@ -13,13 +14,16 @@
 
 // eventReader splits a stream into whole events, which it doesn't change.
 type eventReader struct {
-	body   io.Reader
+	body io.Reader
+	// framed is true if the answer's framing tells its end, so that what follows the last whole event belongs to it.
+	framed bool
 	buffer []byte
 	chunk  []byte
 }
 
-func newEventReader(body io.Reader) *eventReader {
-	return &eventReader{body: body, chunk: make([]byte, readBufferBytes)}
+func newEventReader(res *http.Response) *eventReader {
+	framed := res.ContentLength >= 0 || len(res.TransferEncoding) > 0
+	return &eventReader{body: res.Body, framed: framed, chunk: make([]byte, readBufferBytes)}
 }
 
 // next returns the whole events that have arrived, waiting for the first.
@@ -40,7 +44,12 @@
 			continue
 		}
 		if err == io.EOF && len(evr.buffer) > 0 {
-			return nil, io.ErrUnexpectedEOF
+			if !evr.framed {
+				return nil, io.ErrUnexpectedEOF
+			}
+			rest := evr.buffer
+			evr.buffer = nil
+			return rest, nil
 		}
 		return nil, err
 	}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -237,7 +237,10 @@
 // the last copy, for which the generation stops, waits behind those of others.
 func (one *run) copyRunning(ctx context.Context, source, target *catalog.Endpoint) (cpd Copied, rounds int, err error) {
 	engine := one.server.Board.Snapshot().Catalog.Services[one.service].Engine
-	expected := engine.CopyTime(one.PromptTokens+one.events*engine.TokensPerEvent, source.FailureDomain != target.FailureDomain)
+	one.mutex.Lock()
+	events := one.events
+	one.mutex.Unlock()
+	expected := engine.CopyTime(one.PromptTokens+events*engine.TokensPerEvent, source.FailureDomain != target.FailureDomain)
 	first := one.server.Now()
 	for began := first; ; {
 		rounds++
--- /dev/null
+++ b/gateway/scenario_test.go
@@ -0,0 +1,490 @@
+package gateway_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/txtar"
+	"github.com/sirupsen/logrus"
+
+	"papayacroft/document"
+	"papayacroft/gateway"
+	"papayacroft/platform"
+	"papayacroft/settings"
+	"papayacroft/standin"
+)
+
+// eventually bounds each wait of a script; scripts do not depend on how fast the machine is.
+const eventually = 20 * time.Second
+
+// loggedLines is the number of the daemons' last log lines that a failure shows.
+const loggedLines = 40
+
+// Each script in testdata names the failure that it guards against in its first line.
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txtar")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("got %d scripts, error %v; want some", len(files), err)
+	}
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txtar"), func(t *testing.T) {
+			t.Parallel()
+			arc, err := txtar.ParseFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			sit := newSite(t)
+			for number, line := range strings.Split(string(arc.Comment), "\n") {
+				if line = strings.TrimSpace(line); line != "" && line[0] != '#' {
+					sit.line = fmt.Sprintf("line %d: %s", number+1, line)
+					sit.run(strings.Fields(line))
+				}
+			}
+		})
+	}
+}
+
+// site is a store, endpoints, daemons and callers in one process.
+type site struct {
+	t       *testing.T
+	line    string
+	store   *standin.KeyedStore
+	address string
+	engines map[string]*siteEndpoint
+	daemons map[string]*siteDaemon
+	calls   map[string]*siteCall
+	logs    *safeBuffer
+	born    int64
+}
+
+type siteEndpoint struct {
+	*standin.SiteEngine
+	server  *httptest.Server
+	service string
+	domain  string
+	born    int64
+	beats   int
+}
+
+type siteDaemon struct {
+	caller, ready string
+	stop          context.CancelFunc
+	done          chan error
+}
+
+type siteCall struct {
+	id         string
+	mutex      sync.Mutex
+	status     int
+	body       string
+	events     []int
+	complete   bool
+	err        error
+	retryAfter string
+	cancel     context.CancelFunc
+	done       chan struct{}
+}
+
+type safeBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write appends a log line.
+func (buf *safeBuffer) Write(data []byte) (int, error) {
+	buf.mutex.Lock()
+	defer buf.mutex.Unlock()
+	return buf.buffer.Write(data)
+}
+
+func (buf *safeBuffer) String() string {
+	buf.mutex.Lock()
+	defer buf.mutex.Unlock()
+	return buf.buffer.String()
+}
+
+func newSite(t *testing.T) *site {
+	sit := &site{
+		t: t, store: standin.NewKeyedStore(), engines: map[string]*siteEndpoint{}, daemons: map[string]*siteDaemon{},
+		calls: map[string]*siteCall{}, logs: &safeBuffer{}, born: 1000,
+	}
+	srv := httptest.NewServer(sit.store)
+	sit.address = srv.Listener.Addr().String()
+	t.Cleanup(func() {
+		for _, cal := range sit.calls {
+			cal.cancel()
+		}
+		for _, dmn := range sit.daemons {
+			dmn.stop()
+		}
+		for _, edp := range sit.engines {
+			edp.server.CloseClientConnections()
+		}
+		srv.CloseClientConnections()
+		if t.Failed() {
+			lines := strings.Split(sit.logs.String(), "\n")
+			t.Log(strings.Join(lines[max(0, len(lines)-loggedLines):], "\n"))
+		}
+	})
+	return sit
+}
+
+func (sit *site) fatalf(format string, args ...any) {
+	sit.t.Helper()
+	sit.t.Fatalf("%s: %s", sit.line, fmt.Sprintf(format, args...))
+}
+
+func (sit *site) run(args []string) {
+	switch name := args[0]; name {
+	case "engine": // engine ID SERVICE DOMAIN [copy DURATION] [interval DURATION]
+		sit.startEngine(args[1:])
+	case "publish": // publish VERSION [without ROUTE|KEY]... [move ROUTE SERVICE]
+		sit.store.Put("keyed.op", "config", configuration(args[1], args[2:]))
+	case "garbage": // garbage TOPIC KEY: a record that can't be read
+		sit.store.Put(args[1], args[2], []byte(`{"service":7`))
+	case "compact": // compact TOPIC: the records of the topic go, the newest of each key stay
+		sit.store.Compact(args[1])
+	case "store": // store MODE
+		sit.store.SetMode(standin.StoreMode(strings.ReplaceAll(args[1], "up", "")))
+	case "daemon": // daemon NAME DOMAIN
+		sit.startDaemon(args[1], args[2])
+	case "stop": // stop DAEMON: a planned stop
+		sit.daemons[args[1]].stop()
+	case "stopped": // stopped DAEMON: it has ended
+		sit.await("the daemon to end", func() bool {
+			select {
+			case <-sit.daemons[args[1]].done:
+				return true
+			default:
+				return false
+			}
+		})
+	case "mode": // mode ENGINE MODE
+		sit.engines[args[1]].SetMode(standin.EngineMode(strings.ReplaceAll(args[2], "serves", "")))
+	case "drain": // drain ENGINE: its entry says that it drains
+		sit.beat(args[1], "draining")
+	case "vanish": // vanish ENGINE: its entry is removed while it still serves
+		sit.store.Put("keyed.servers", args[1], nil)
+	case "beat": // beat ENGINE: its entry as it is
+		sit.beat(args[1], "ready")
+	case "leaves": // leaves ENGINE: its own report says that it leaves
+		sit.engines[args[1]].SetLeaves()
+	case "full": // full ENGINE: it takes no copies
+		sit.engines[args[1]].RefuseCopies()
+	case "end": // end ENGINE: it is gone
+		sit.engines[args[1]].Stop()
+		sit.engines[args[1]].server.CloseClientConnections()
+		_ = sit.engines[args[1]].server.Listener.Close()
+	case "call": // call NAME DAEMON ROUTE [KEY]
+		sit.startCall(args[1], args[2], http.MethodPost, "/"+args[3]+"/x", args[4:])
+	case "stream": // stream NAME DAEMON ROUTE EVENTS [KEY]
+		sit.startCall(args[1], args[2], http.MethodPost, "/"+args[3]+"/x?events="+args[4], args[5:])
+	case "leave": // leave CALL: the caller closes its connection
+		sit.calls[args[1]].cancel()
+	case "elapse":
+		time.Sleep(sit.duration(args[1]))
+	default:
+		sit.check(args)
+	}
+}
+
+// check runs the commands that compare what callers and endpoints saw.
+func (sit *site) check(args []string) {
+	switch args[0] {
+	case "received": // received CALL COUNT: at least so many events have come
+		sit.await("events", func() bool { return len(sit.calls[args[1]].received()) >= sit.number(args[2]) })
+	case "status": // status CALL STATUS
+		cal := sit.finished(args[1])
+		if got, want := cal.status, sit.number(args[2]); got != want {
+			sit.fatalf("got status %d (%s, %v), want %d", got, cal.body, cal.err, want)
+		}
+	case "complete": // complete CALL EVENTS: all events in order and the end of the stream
+		cal := sit.finished(args[1])
+		for at, event := range cal.events {
+			if event != at+1 {
+				sit.fatalf("got events %v, want each once and in order", cal.events)
+			}
+		}
+		if got, want := len(cal.events), sit.number(args[2]); got != want || !cal.complete {
+			sit.fatalf("got %d events, complete %t (%v), want %d and complete", got, cal.complete, cal.err, want)
+		}
+	case "broken": // broken CALL: the answer does not look complete
+		if cal := sit.finished(args[1]); cal.complete {
+			sit.fatalf("got a complete answer of status %d, want a broken one", cal.status)
+		}
+	case "retryable": // retryable CALL: it may come back
+		if cal := sit.finished(args[1]); cal.retryAfter == "" {
+			sit.fatalf("got no time to come back, want one")
+		}
+	case "ran": // ran CALL COUNT [ENGINE]: runs that did not go on from a copy
+		want := sit.number(args[2])
+		sit.await(fmt.Sprintf("%d runs", want), func() bool { return len(sit.runs(args[1], args[3:])) == want })
+	case "cut": // cut CALL: the endpoint noticed that the caller was gone
+		sit.await("the endpoint to notice", func() bool {
+			runs := sit.runs(args[1], nil)
+			return len(runs) == 1 && runs[0].Cut
+		})
+	case "organisation": // organisation CALL NAME: what the endpoint was told, and no key
+		for _, run := range sit.runs(args[1], nil) {
+			if run.Organisation != args[2] || run.Authorized {
+				sit.fatalf("got organisation %q, key passed on %t, want %q and no key", run.Organisation, run.Authorized, args[2])
+			}
+		}
+	case "until": // until DAEMON ROUTE STATUS [KEY]: calls get the status at last
+		sit.await("status "+args[3], func() bool {
+			name := fmt.Sprintf("until%d", len(sit.calls))
+			sit.startCall(name, args[1], http.MethodPost, "/"+args[2]+"/x", args[4:])
+			return sit.finished(name).status == sit.number(args[3])
+		})
+	case "ready": // ready DAEMON STATUS
+		sit.await("readiness", func() bool {
+			res, err := http.Get("http://" + sit.daemons[args[1]].ready + "/")
+			if err != nil {
+				return false
+			}
+			_ = res.Body.Close()
+			return res.StatusCode == sit.number(args[2])
+		})
+	case "logged": // logged TEXT...
+		text := strings.Join(args[1:], " ")
+		sit.await("a log line", func() bool { return strings.Contains(sit.logs.String(), text) })
+	default:
+		sit.fatalf("command %q does not exist", args[0])
+	}
+}
+
+func (sit *site) await(what string, done func() bool) {
+	sit.t.Helper()
+	for until := time.Now().Add(eventually); !done(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(until) {
+			sit.fatalf("%s did not come", what)
+		}
+	}
+}
+
+func (sit *site) number(text string) int {
+	num, err := strconv.Atoi(text)
+	if err != nil {
+		sit.fatalf("%q is not a number", text)
+	}
+	return num
+}
+
+func (sit *site) duration(text string) time.Duration {
+	dur, err := time.ParseDuration(text)
+	if err != nil {
+		sit.fatalf("%q is not a duration", text)
+	}
+	return dur
+}
+
+func (sit *site) runs(call string, engines []string) []standin.SiteRun {
+	var runs []standin.SiteRun
+	for id, edp := range sit.engines {
+		if len(engines) > 0 && engines[0] != id {
+			continue
+		}
+		for _, run := range edp.Runs() {
+			if run.CallID == sit.calls[call].id && !run.Copied {
+				runs = append(runs, run)
+			}
+		}
+	}
+	return runs
+}
+
+func (sit *site) startEngine(args []string) {
+	sit.born++
+	edp := &siteEndpoint{SiteEngine: standin.NewSiteEngine(args[0]), service: args[1], domain: args[2], born: sit.born}
+	for i := 3; i+1 < len(args); i += 2 {
+		switch args[i] {
+		case "copy":
+			edp.CopyTime = sit.duration(args[i+1])
+		case "interval":
+			edp.Interval = sit.duration(args[i+1])
+		}
+	}
+	edp.server = httptest.NewServer(edp.SiteEngine)
+	for _, other := range sit.engines {
+		other.Peers[edp.server.Listener.Addr().String()] = edp.SiteEngine
+		edp.Peers[other.server.Listener.Addr().String()] = other.SiteEngine
+	}
+	sit.engines[args[0]] = edp
+	sit.beat(args[0], "ready")
+}
+
+func (sit *site) beat(id, state string) {
+	edp := sit.engines[id]
+	edp.beats++
+	entry, err := json.Marshal(map[string]any{
+		"service": edp.service, "address": edp.server.Listener.Addr().String(), "zone": edp.domain, "slots": 8, "state": state,
+		"sequence": edp.beats, "born": edp.born, "coldLeftMs": 0,
+	})
+	if err != nil {
+		sit.fatalf("%v", err)
+	}
+	sit.store.Put("keyed.servers", id, entry)
+}
+
+// configuration has two services and a route for each kind of request.
+func configuration(version string, changes []string) []byte {
+	without := map[string]bool{}
+	moved := map[string]string{}
+	for i := 0; i < len(changes); i++ {
+		switch changes[i] {
+		case "without":
+			i++
+			without[changes[i]] = true
+		case "move":
+			moved[changes[i+1]] = changes[i+2]
+			i += 2
+		}
+	}
+	var routes []map[string]any
+	for _, rou := range []map[string]any{
+		{"name": "once", "kind": "non_idempotent", "service": "desk", "maxAttempts": 1, "timeoutMs": 2000, "targetLatencyMs": 500},
+		{"name": "again", "kind": "idempotent", "service": "desk", "maxAttempts": 2, "timeoutMs": 2000, "targetLatencyMs": 500},
+		{"name": "long", "kind": "stream", "service": "pool", "maxAttempts": 1, "timeoutMs": 30000, "targetLatencyMs": 3000},
+		{"name": "short", "kind": "stream", "service": "pool", "maxAttempts": 2, "timeoutMs": 30000, "targetLatencyMs": 3000, "resumable": true},
+		{"name": "open", "kind": "idempotent", "service": "desk", "maxAttempts": 2, "timeoutMs": 2000, "targetLatencyMs": 500, "public": true},
+	} {
+		name := rou["name"].(string)
+		if without[name] {
+			continue
+		}
+		if service, ok := moved[name]; ok {
+			rou["service"] = service
+		}
+		rou["host"], rou["pathPrefix"] = "site.example", "/"+name+"/"
+		routes = append(routes, rou)
+	}
+	var tenants []map[string]any
+	for _, name := range []string{"one", "two"} {
+		if !without[name] {
+			tenants = append(tenants, map[string]any{"name": name, "apiKeys": []string{"key-" + name}})
+		}
+	}
+	engine := map[string]any{
+		"slots": 8, "kvCapacityTokens": 30000, "moves": true, "backups": true, "stride": 4, "handleS": 5, "kvTokenBytes": 1000, "linkMbps": 10000,
+	}
+	num, _ := strconv.Atoi(version)
+	data, _ := json.Marshal(map[string]any{
+		"version": num, "routes": routes, "tenants": tenants,
+		"services": []map[string]any{{"name": "desk", "protocol": "h1"}, {"name": "pool", "protocol": "h1", "engine": engine}},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
+	return data
+}
+
+func (sit *site) freeAddress() string {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		sit.fatalf("%v", err)
+	}
+	defer lis.Close()
+	return lis.Addr().String()
+}
+
+func (sit *site) startDaemon(name, domain string) {
+	logger := logrus.New()
+	logger.SetOutput(sit.logs)
+	logger.SetFormatter(&logrus.JSONFormatter{})
+	set := &settings.Gateway{
+		Name: name, FailureDomain: domain, CallerAddress: sit.freeAddress(), ReadyAddress: sit.freeAddress(),
+		PeerAddress: sit.freeAddress(), StoreAddress: sit.address, DrainNotice: document.Duration(8 * time.Second),
+		Retries: settings.RetryBudget{Ratio: 0.2, Extra: 50, Window: document.Duration(10 * time.Second)},
+		Log:     settings.Log{Level: "info", Format: "json"},
+	}
+	dmn := gateway.NewDaemon()
+	dmn.Settings, dmn.Logger = set, logger
+	platform.Attach(dmn)
+	ctx, cancel := context.WithCancel(context.Background())
+	one := &siteDaemon{caller: set.CallerAddress, ready: set.ReadyAddress, stop: cancel, done: make(chan error, 1)}
+	sit.daemons[name] = one
+	go func() { one.done <- dmn.Run(ctx) }()
+	sit.await("the daemon to listen", func() bool {
+		con, err := net.Dial("tcp", set.CallerAddress)
+		if err == nil {
+			_ = con.Close()
+		}
+		return err == nil
+	})
+}
+
+func (sit *site) startCall(name, daemon, method, target string, key []string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cal := &siteCall{id: "id-" + name, cancel: cancel, done: make(chan struct{})}
+	sit.calls[name] = cal
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+sit.daemons[daemon].caller+target, strings.NewReader("body of "+name))
+	if err != nil {
+		sit.fatalf("%v", err)
+	}
+	req.Host = "site.example"
+	req.Header.Set("Attempt-Id", cal.id)
+	req.Header.Set("Token-Usage", "100,400")
+	req.Header.Set("Tenant", "forged")
+	credential := "key-one"
+	if len(key) > 0 {
+		credential = key[0]
+	}
+	req.Header.Set("Authorization", "Bearer "+credential)
+	go cal.run(req)
+}
+
+func (cal *siteCall) run(req *http.Request) {
+	defer close(cal.done)
+	clt := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	res, err := clt.Do(req)
+	if err != nil {
+		cal.err = err
+		return
+	}
+	defer res.Body.Close()
+	cal.status, cal.retryAfter = res.StatusCode, res.Header.Get("Retry-After")
+	if res.Header.Get("Content-Type") != "text/event-stream" {
+		var body []byte
+		body, cal.err = io.ReadAll(res.Body)
+		cal.body, cal.complete = string(body), cal.err == nil
+		return
+	}
+	scn := bufio.NewScanner(res.Body)
+	for scn.Scan() {
+		if text, ok := strings.CutPrefix(scn.Text(), "id: "); ok {
+			event, _ := strconv.Atoi(text)
+			cal.mutex.Lock()
+			cal.events = append(cal.events, event)
+			cal.mutex.Unlock()
+		}
+	}
+	cal.err = scn.Err()
+	cal.complete = cal.err == nil
+}
+
+func (cal *siteCall) received() []int {
+	cal.mutex.Lock()
+	defer cal.mutex.Unlock()
+	return cal.events
+}
+
+func (sit *site) finished(name string) *siteCall {
+	cal := sit.calls[name]
+	select {
+	case <-cal.done:
+	case <-time.After(eventually):
+		sit.fatalf("call %s did not end", name)
+	}
+	return cal
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -21,6 +21,9 @@
 	noCatalogRetry = 500 * time.Millisecond
 	// drainingRetry is when a caller may come back, to another daemon, from one that is stopping.
 	drainingRetry = 20 * time.Millisecond
+	// lastRequestTime is how long before the end of the process the last request is taken: a short stream on a
+	// busy engine takes 2.5 s.
+	lastRequestTime = 3 * time.Second
 	// usualFirstEvent is the usual time to the first event of a generation.
 	usualFirstEvent = 500 * time.Millisecond
 	// defaultDeadline bounds requests of routes without a timeout.
@@ -47,6 +50,8 @@
 	Budget  *dispatch.Budget
 	Logger  logrus.FieldLogger
 	Now     func() time.Time
+	// DrainNotice is the time from the signal to stop to the end of the process.
+	DrainNotice time.Duration
 	// HasNeighbour, if set, reports whether another daemon of the failure domain takes callers.
 	HasNeighbour func() bool
 	// OnWork, if set, learns that a generation was sent to an engine; it must not block.
@@ -166,12 +171,19 @@
 // A caller that comes back reaches another daemon of the failure domain, or one elsewhere once the balancer has noticed.
 func (srv *Server) refuseDraining(now time.Time, rou *catalog.Route) *refusal {
 	since := srv.drainingSince.Load()
-	if since == 0 || rou.Kind != catalog.KindStream || rou.Resumable {
+	if since == 0 {
+		return nil
+	}
+	elapsed := now.Sub(time.Unix(0, since))
+	if left := srv.DrainNotice - elapsed; left < min(rou.Timeout, lastRequestTime) {
+		return notRun(drainingRetry, "this daemon is about to end")
+	}
+	if rou.Kind != catalog.KindStream || rou.Resumable {
 		return nil
 	}
 	wait := drainingRetry
 	if srv.HasNeighbour == nil || !srv.HasNeighbour() {
-		wait = max(wait, unreadyTime-now.Sub(time.Unix(0, since)))
+		wait = max(wait, unreadyTime-elapsed)
 	}
 	if wait+usualFirstEvent > rou.Target {
 		return nil
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -40,13 +40,13 @@
 	endpoint *catalog.Endpoint
 	// header is true once the caller has the head of the answer.
 	header bool
-	events int
 	// firstAt and lastAt are the times of the first and the newest event, pause is the longest between two.
 	firstAt, lastAt time.Time
 	pause           time.Duration
 
-	// mutex guards what the move writes.
+	// mutex guards what the relay and the move share.
 	mutex     sync.Mutex
+	events    int
 	lastEvent string
 	moving    chan struct{}
 	copy      *copyAt
@@ -235,7 +235,7 @@
 
 // relay hands on events until the stream ends; it returns nil if the stream is complete.
 func (one *run) relay() error {
-	reader := newEventReader(one.link.Response.Body)
+	reader := newEventReader(one.link.Response)
 	for {
 		if one.route.Resumable {
 			one.link.SetReadDeadline(one.server.Now().Add(max(silenceLimit, one.silence())))
@@ -269,8 +269,8 @@
 	if id != "" {
 		one.lastEvent = id
 	}
-	one.mutex.Unlock()
 	one.events += count
+	one.mutex.Unlock()
 	if one.flight.Work.Prefill > 0 {
 		one.server.started(one.flight)
 	}
--- a/papayacroftd/cmd_gateway.go
+++ b/papayacroftd/cmd_gateway.go
@@ -39,12 +39,7 @@
 	}
 	dmn := gateway.NewDaemon()
 	dmn.Settings, dmn.Logger, dmn.Version = set, logger, version
-	dmn.Server.Wire, dmn.Server.Engines = platform.Headers{}, platform.NewEngines()
-	dmn.Exchange.Parse = platform.ParseCatalog
-	fol := platform.NewFollower(platform.NewStore(set.StoreAddress))
-	fol.Control, fol.Exchange, fol.Logger, fol.Name, fol.PeerAddress = dmn.Control, dmn.Exchange, logger, set.Name, set.PeerAddress
-	fol.FailureDomain = set.FailureDomain
-	dmn.Tasks = append(dmn.Tasks, fol.Tasks()...)
+	platform.Attach(dmn)
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	go func() {
--- /dev/null
+++ b/standin/keyedstore.go
@@ -0,0 +1,225 @@
+package standin
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// KeyedStore stands in for the metadata store of the users' machines: topics with one partition whose newest record
+// of each key is kept.
+type KeyedStore struct {
+	mutex  sync.Mutex
+	topics map[string]*keyedTopic
+	mode   StoreMode
+	calls  int
+}
+
+// StoreMode is a disturbance of the store.
+type StoreMode string
+
+// The modes of the store.
+const (
+	StoreUp     StoreMode = ""
+	StoreBusy   StoreMode = "busy"
+	StoreSilent StoreMode = "silent"
+	// StoreLoses does what it is asked and gives no answer.
+	StoreLoses StoreMode = "loses"
+)
+
+type keyedTopic struct {
+	first   int64
+	records []keyedRecord
+	newest  map[string]keyedRecord
+	grown   chan struct{}
+}
+
+type keyedRecord struct {
+	offset int64
+	key    string
+	value  []byte
+}
+
+const (
+	keyedReadHeader   = 16
+	keyedRecordHeader = 4
+	maxAppendBytes    = 2 << 20
+)
+
+// NewKeyedStore returns an empty store.
+func NewKeyedStore() *KeyedStore {
+	return &KeyedStore{topics: map[string]*keyedTopic{}}
+}
+
+// SetMode disturbs the store from now on.
+func (kst *KeyedStore) SetMode(mode StoreMode) {
+	kst.mutex.Lock()
+	defer kst.mutex.Unlock()
+	kst.mode = mode
+}
+
+// Calls returns the number of calls so far.
+func (kst *KeyedStore) Calls() int {
+	kst.mutex.Lock()
+	defer kst.mutex.Unlock()
+	return kst.calls
+}
+
+// Put appends the newest record of a key; a nil value drops the key.
+func (kst *KeyedStore) Put(topic, key string, value []byte) int64 {
+	kst.mutex.Lock()
+	defer kst.mutex.Unlock()
+	top := kst.topic(topic)
+	rec := keyedRecord{offset: top.first + int64(len(top.records)), key: key, value: value}
+	top.records = append(top.records, rec)
+	if value == nil {
+		delete(top.newest, key)
+	} else {
+		top.newest[key] = rec
+	}
+	close(top.grown)
+	top.grown = make(chan struct{})
+	return rec.offset
+}
+
+// Compact deletes the records of a topic; the newest of each key stay.
+func (kst *KeyedStore) Compact(topic string) {
+	kst.mutex.Lock()
+	defer kst.mutex.Unlock()
+	top := kst.topic(topic)
+	top.first += int64(len(top.records))
+	top.records = nil
+}
+
+func (kst *KeyedStore) topic(name string) *keyedTopic {
+	top, ok := kst.topics[name]
+	if !ok {
+		top = &keyedTopic{newest: map[string]keyedRecord{}, grown: make(chan struct{})}
+		kst.topics[name] = top
+	}
+	return top
+}
+
+// ServeHTTP answers the calls of the store's protocol.
+func (kst *KeyedStore) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
+	kst.mutex.Lock()
+	kst.calls++
+	mode := kst.mode
+	kst.mutex.Unlock()
+	switch mode {
+	case StoreBusy:
+		wri.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case StoreSilent:
+		<-req.Context().Done()
+		return
+	}
+	topic := req.URL.Query().Get("topic")
+	switch req.URL.Path {
+	case "/-/log-newest":
+		kst.serveNewest(wri, topic)
+	case "/-/log-read":
+		kst.serveRead(wri, req, topic)
+	case "/-/log-append":
+		kst.serveAppend(wri, req, topic, mode)
+	default:
+		wri.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (kst *KeyedStore) serveNewest(wri http.ResponseWriter, topic string) {
+	kst.mutex.Lock()
+	defer kst.mutex.Unlock()
+	top := kst.topic(topic)
+	type item struct {
+		Key    string `json:"key"`
+		Value  string `json:"value"`
+		Offset int64  `json:"offset"`
+	}
+	items := []item{}
+	for key, rec := range top.newest {
+		items = append(items, item{key, base64.StdEncoding.EncodeToString(rec.value), rec.offset})
+	}
+	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
+	_ = json.NewEncoder(wri).Encode(map[string]any{"items": items, "more": false, "end": top.first + int64(len(top.records))})
+}
+
+func (kst *KeyedStore) serveRead(wri http.ResponseWriter, req *http.Request, topic string) {
+	from, err := strconv.ParseInt(req.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		wri.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	wait, _ := strconv.Atoi(req.URL.Query().Get("waitMs"))
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for waited := wait == 0; ; {
+		kst.mutex.Lock()
+		top := kst.topic(topic)
+		data, trimmed := top.read(from)
+		grown := top.grown
+		kst.mutex.Unlock()
+		if trimmed {
+			wri.WriteHeader(http.StatusGone)
+			return
+		}
+		if waited || len(data) > keyedReadHeader {
+			_, _ = wri.Write(data)
+			return
+		}
+		select {
+		case <-grown:
+		case <-timer.C:
+			waited = true
+		case <-req.Context().Done():
+			return
+		}
+	}
+}
+
+func (top *keyedTopic) read(from int64) (data []byte, trimmed bool) {
+	if from < top.first {
+		return nil, true
+	}
+	end := top.first + int64(len(top.records))
+	data = binary.BigEndian.AppendUint64(nil, uint64(end))        //nolint:gosec // offsets are not negative
+	data = binary.BigEndian.AppendUint64(data, uint64(top.first)) //nolint:gosec // offsets are not negative
+	for _, rec := range top.records {
+		if rec.offset >= from {
+			data = binary.BigEndian.AppendUint32(data, uint32(1+len(rec.key)+len(rec.value))) //nolint:gosec // records are small
+			data = append(data, byte(len(rec.key)))
+			data = append(append(data, rec.key...), rec.value...)
+		}
+	}
+	return data, false
+}
+
+func (kst *KeyedStore) serveAppend(wri http.ResponseWriter, req *http.Request, topic string, mode StoreMode) {
+	if !strings.HasPrefix(topic, "keyed.status") {
+		wri.WriteHeader(http.StatusForbidden)
+		return
+	}
+	body, err := io.ReadAll(io.LimitReader(req.Body, maxAppendBytes))
+	if err != nil || len(body) < keyedRecordHeader+1 {
+		wri.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	end := keyedRecordHeader + 1 + int(body[keyedRecordHeader])
+	if end > len(body) {
+		wri.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	offset := kst.Put(topic, string(body[keyedRecordHeader+1:end]), body[end:])
+	if mode == StoreLoses {
+		<-req.Context().Done()
+		return
+	}
+	_ = json.NewEncoder(wri).Encode(map[string]int64{"offset": offset, "end": offset + 1})
+}
