Divide engines between daemons of large deployments; one daemon reads a topic

Cause: on the grown deployments 65 daemons chose engines without knowing in time what the others had sent (550 of 1,401 long streams late), and several daemons went on reading the store, since a reader was always ahead of what it heard (2,521 calls). Change: each engine is used by the eight daemons with the highest hashes, which tell each other; parts of topics are forwarded to all daemons; of several readers the lowest name goes on; the expected length of an output is the mean share of the longest one, as callers' estimates made engines look full.

--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -13,7 +13,7 @@
 
 const (
 	// usageLifetime is how long the load that a peer told counts after its last word.
-	usageLifetime = 3 * time.Second
+	usageLifetime = 8 * time.Second
 	// reportLifetime is how long an endpoint's own word on its load counts.
 	reportLifetime = 2 * time.Second
 	// failureHalfLife is how fast failures are forgotten.
@@ -57,6 +57,8 @@
 	Source string
 	// Excluded endpoints are not considered.
 	Excluded map[string]bool
+	// Preferred endpoints are considered first, the others if none of them takes work; nil prefers none.
+	Preferred map[string]bool
 	// Force chooses the best endpoint also if all are full.
 	Force bool
 }
@@ -130,10 +132,19 @@
 
 // Choose rates the endpoints that take work and returns the best.
 func (dsk *Desk) Choose(now time.Time, rnd *rand.Rand, cat *catalog.Catalog, flt catalog.FleetView, req *Request) Choice {
+	if req.Preferred != nil && cat.Services[req.Service].Engine != nil {
+		if choice := dsk.choose(now, rnd, cat, flt, req, true); choice.Considered > 0 {
+			return choice
+		}
+	}
+	return dsk.choose(now, rnd, cat, flt, req, false)
+}
+
+func (dsk *Desk) choose(now time.Time, rnd *rand.Rand, cat *catalog.Catalog, flt catalog.FleetView, req *Request, preferred bool) Choice {
 	choice := Choice{Reason: ReasonNoEndpoint, Score: math.Inf(1)}
 	engine := cat.Services[req.Service].Engine
 	for id, edp := range flt.Endpoints {
-		if edp.Service != req.Service || edp.State != catalog.StateReady || req.Excluded[id] {
+		if edp.Service != req.Service || edp.State != catalog.StateReady || req.Excluded[id] || preferred && !req.Preferred[id] {
 			continue
 		}
 		if _, leaving := flt.Leaving[id]; leaving {
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -117,9 +117,10 @@
 		srv.EndpointLeaves(id)
 	}
 	dmn.Control.OnChange = func(snp *Snapshot) {
+		srv.sharing.Store(newSharing(srv.sharing.Load(), snp, set.Name, dmn.Exchange.Members()))
 		srv.mutex.Lock()
 		defer srv.mutex.Unlock()
-		srv.Budget.Daemons = len(snp.Peers) + 1
+		srv.Budget.Daemons = len(dmn.Exchange.Members())
 		srv.Desk.Forget(srv.Now(), snp.Fleet)
 	}
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +29,10 @@
 	exchangePeers = 3
 	// newsPeers is the number of peers told at once of a leaving endpoint or a new version.
 	newsPeers = 16
+	// forwardWidth is the number of peers to which a daemon sends a part of a topic itself.
+	forwardWidth = 8
+	// maxAddressees bounds the peers that are told of a part of a topic.
+	maxAddressees = 1024
 	// exchangeTimeout bounds one message.
 	exchangeTimeout = 600 * time.Millisecond
 	// notifyTimeout bounds a message without an answer.
@@ -76,6 +82,8 @@
 	parts chan *TopicPart
 
 	mutex sync.Mutex
+	// changed are the engines whose work is to be told.
+	changed map[string]bool
 	// failures are the peers that did not answer.
 	failures map[string]*peerFailure
 }
@@ -89,7 +97,7 @@
 // NewExchange returns an exchange that needs its exported fields set before Run.
 func NewExchange() *Exchange {
 	return &Exchange{Client: peer.NewClient(), Now: time.Now, news: make(chan struct{}, 1), work: make(chan struct{}, 1),
-		parts: make(chan *TopicPart, feedBuffer), Feeds: map[string]*Feed{}, failures: map[string]*peerFailure{}}
+		parts: make(chan *TopicPart, feedBuffer), Feeds: map[string]*Feed{}, failures: map[string]*peerFailure{}, changed: map[string]bool{}}
 }
 
 // Register adds the method to a peer server.
@@ -117,6 +125,9 @@
 		if fed, ok := exc.Feeds[part.Topic]; ok {
 			fed.Hear(&part)
 		}
+		if len(part.Forward) > 0 {
+			exc.ShareTopic(&part)
+		}
 		return nil, nil
 	}
 }
@@ -129,8 +140,11 @@
 	}
 }
 
-// Work asks to tell the peers at once what this daemon has at the engines.
-func (exc *Exchange) Work() {
+// Work asks to tell the users of an engine at once what this daemon has there.
+func (exc *Exchange) Work(endpoint string) {
+	exc.mutex.Lock()
+	exc.changed[endpoint] = true
+	exc.mutex.Unlock()
 	select {
 	case exc.work <- struct{}{}:
 	default:
@@ -170,15 +184,58 @@
 			return
 		case <-exc.work:
 			sleep(ctx, workDelay)
-			exc.notify(ctx, workMethod, &message{Name: exc.Name, Usage: exc.usage()})
+			exc.notify(ctx, exc.changedUsers(), workMethod, &message{Name: exc.Name, Usage: exc.usage()})
 		case part := <-exc.parts:
-			exc.notify(ctx, topicMethod, part)
+			exc.forward(ctx, part)
+		}
+	}
+}
+
+// changedUsers returns the addresses of the daemons that use the engines whose work changed.
+func (exc *Exchange) changedUsers() []string {
+	exc.mutex.Lock()
+	changed := exc.changed
+	exc.changed = map[string]bool{}
+	exc.mutex.Unlock()
+	shr := exc.Server.sharing.Load()
+	if shr == nil {
+		return nil
+	}
+	answering := exc.Answering()
+	addresses := map[string]bool{}
+	for id := range changed {
+		for _, name := range shr.users[id] {
+			if per, ok := answering[name]; ok {
+				addresses[per.Address] = true
+			}
 		}
 	}
+	return slices.Collect(maps.Keys(addresses))
 }
 
-func (exc *Exchange) notify(ctx context.Context, method string, params any) {
-	for _, address := range exc.addresses(newsPeers) {
+// forward sends a part of a topic to all its addressees: to a first one of each group, which forwards it to the others.
+func (exc *Exchange) forward(ctx context.Context, part *TopicPart) {
+	addresses := part.Forward
+	if part.First {
+		addresses = exc.addresses(maxAddressees)
+	}
+	groups := len(addresses)
+	if groups > forwardWidth {
+		groups = forwardWidth
+	}
+	for i := range groups {
+		var rest []string
+		for j := i + groups; j < len(addresses); j += groups {
+			rest = append(rest, addresses[j])
+		}
+		exc.notify(ctx, addresses[i:i+1], topicMethod, &TopicPart{
+			Topic: part.Topic, Reader: part.Reader, From: part.From, Next: part.Next, Records: part.Records, Forward: rest,
+		})
+	}
+}
+
+func (exc *Exchange) notify(ctx context.Context, addresses []string, method string, params any) {
+	for _, address := range addresses {
 		notifyCtx, cancel := context.WithTimeout(ctx, notifyTimeout)
 		err := exc.Client.Notify(notifyCtx, address, method, params)
 		cancel()
@@ -233,6 +290,15 @@
 	return answering
 }
 
+// Members returns the names of the daemons that answer and of this one.
+func (exc *Exchange) Members() []string {
+	names := []string{exc.Name}
+	for name := range exc.Answering() {
+		names = append(names, name)
+	}
+	return names
+}
+
 // HasNeighbour reports whether another daemon of the failure domain takes callers.
 func (exc *Exchange) HasNeighbour() bool {
 	for _, per := range exc.Answering() {
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -16,6 +16,8 @@
 	// and hearSpread keeps daemons from doing so at once.
 	hearSlack  = 150 * time.Millisecond
 	hearSpread = 300 * time.Millisecond
+	// emptyInterval is the time between two notices that there was nothing that others need.
+	emptyInterval = 300 * time.Millisecond
 	// minFeedPause and maxFeedPause bound the pause after a read that failed.
 	minFeedPause = 100 * time.Millisecond
 	maxFeedPause = 800 * time.Millisecond
@@ -40,10 +42,16 @@
 
 // TopicPart is what one daemon read of a topic, as it tells the others.
 type TopicPart struct {
-	Topic   string   `json:"topic"`
+	Topic string `json:"topic"`
+	// Reader is the daemon that read the part.
+	Reader  string   `json:"reader"`
 	From    int64    `json:"from"`
 	Next    int64    `json:"next"`
 	Records []Record `json:"records,omitempty"`
+	// Forward are the addresses to which the receiver sends the part on.
+	Forward []string `json:"forward,omitempty"`
+	// First is true at the daemon that read the part.
+	First bool `json:"-"`
 }
 
 // IsTrimmed reports whether records were deleted before they were read.
@@ -54,6 +62,8 @@
 // Feed follows one topic. Calls to the store are limited and priced, so one daemon reads and tells the others;
 // the others read when they have heard nothing for a while, and what they missed.
 type Feed struct {
+	// Name is this daemon's.
+	Name  string
 	Topic string
 	// Wait is the time for which a read waits for records, and Interval the pause between two reads.
 	Wait, Interval time.Duration
@@ -66,10 +76,15 @@
 	// Share tells the other daemons.
 	Share func(part *TopicPart)
 
-	next  int64
-	pause time.Duration
-	due   time.Time
-	parts chan *TopicPart
+	next int64
+	// readAt is when this daemon last read the topic itself.
+	readAt time.Time
+	// shared is the offset up to which the other daemons were told, at sharedAt.
+	shared   int64
+	sharedAt time.Time
+	pause    time.Duration
+	due      time.Time
+	parts    chan *TopicPart
 }
 
 // NewFeed returns a feed that needs its exported fields set before Run.
@@ -126,31 +141,47 @@
 		fed.pause = min(2*fed.pause, maxFeedPause)
 		return
 	}
-	fed.pause, fed.next, fed.due = minFeedPause, next, now.Add(fed.Interval)
+	fed.pause, fed.next, fed.readAt, fed.due = minFeedPause, next, now, now.Add(fed.Interval)
 	fed.Control.Send(ctx, StoreRead{})
 	if whole || len(records) > 0 {
 		records = fed.Apply(ctx, records, whole)
 	}
-	if !whole {
-		fed.Share(&TopicPart{Topic: fed.Topic, From: from, Next: next, Records: records})
+	if whole {
+		fed.shared = next
+		return
+	}
+	fed.share(now, next, records)
+}
+
+// share tells the other daemons what was read, at once if they need a record of it and else now and then.
+func (fed *Feed) share(now time.Time, next int64, records []Record) {
+	if len(records) == 0 && now.Sub(fed.sharedAt) < emptyInterval {
+		return
 	}
+	fed.Share(&TopicPart{Topic: fed.Topic, Reader: fed.Name, From: fed.shared, Next: next, Records: records, First: true})
+	fed.shared, fed.sharedAt = next, now
 }
 
 // hear takes in what another daemon read, or reads what was missed before it.
 func (fed *Feed) hear(ctx context.Context, part *TopicPart) {
 	now := fed.Now()
-	switch {
-	case fed.next == unread || part.Next < fed.next:
+	if fed.next == unread {
 		return
-	case part.From > fed.next:
+	}
+	if part.From > fed.next {
 		fed.due = now.Add(gapPause)
 		return
-	case part.Next > fed.next:
+	}
+	if part.Next > fed.next {
 		fed.Apply(ctx, part.Records, false)
+		fed.next, fed.shared = part.Next, part.Next
 	}
-	fed.next, fed.pause = part.Next, minFeedPause
-	fed.due = now.Add(fed.Wait + fed.Interval + hearSlack + time.Duration(rand.Int64N(int64(hearSpread))))
+	fed.pause = minFeedPause
 	fed.Control.Send(ctx, StoreRead{})
+	// Of several daemons that read, the one with the lowest name goes on.
+	if reads := now.Sub(fed.readAt) < fed.Wait+fed.Interval+hearSlack; !reads || part.Reader < fed.Name {
+		fed.due = now.Add(fed.Wait + fed.Interval + hearSlack + time.Duration(rand.Int64N(int64(hearSpread))))
+	}
 }
 
 // spread varies a pause, so that daemons don't call the store all at once.
--- a/gateway/prober.go
+++ b/gateway/prober.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"papayacroft/catalog"
+	"papayacroft/dispatch"
 )
 
 const (
@@ -49,8 +47,7 @@
 		if snp.Catalog == nil || prb.Now().Sub(snp.StoreReadAt) < storeSilence {
 			continue
 		}
-		members := append(slices.Collect(maps.Keys(prb.Exchange.Answering())), prb.Name)
-		for _, edp := range probed(snp, prb.Name, members) {
+		for _, edp := range probed(snp, prb.Name, prb.Exchange.Members()) {
 			go prb.probe(ctx, edp)
 		}
 	}
@@ -72,20 +69,9 @@
 	var endpoints []catalog.Endpoint
 	for id, edp := range snp.Fleet.Endpoints {
 		_, leaving := snp.Fleet.Leaving[id]
-		if !leaving && snp.Catalog.Services[edp.Service].Engine != nil && responsible(id, members) == name {
+		if !leaving && snp.Catalog.Services[edp.Service].Engine != nil && dispatch.Users(id, members, 1)[0] == name {
 			endpoints = append(endpoints, edp)
 		}
 	}
 	return endpoints
 }
-
-// responsible returns the member with the highest hash for an id.
-func responsible(id string, members []string) string {
-	best, top := "", uint64(0)
-	for _, name := range members {
-		if sum := xxhash.Sum64String(name + "\x00" + id); best == "" || sum > top {
-			best, top = name, sum
-		}
-	}
-	return best
-}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -54,12 +54,13 @@
 	DrainNotice time.Duration
 	// HasNeighbour, if set, reports whether another daemon of the failure domain takes callers.
 	HasNeighbour func() bool
-	// OnWork, if set, learns that a generation was sent to an engine; it must not block.
-	OnWork func()
+	// OnWork, if set, learns that a generation was sent to an engine or has ended there; it must not block.
+	OnWork func(endpoint string)
 
 	// mutex guards the desk and the budget.
 	mutex    sync.Mutex
 	inFlight atomic.Int64
+	sharing  atomic.Pointer[sharing]
 	// drainingSince is the time of the signal to stop in Unix nanoseconds, 0 before.
 	drainingSince atomic.Int64
 	streams       *streams
@@ -222,6 +223,9 @@
 
 func (srv *Server) decide(now time.Time, req *dispatch.Request) dispatch.Choice {
 	snp := srv.Board.Snapshot()
+	if shr := srv.sharing.Load(); shr != nil {
+		req.Preferred = shr.own
+	}
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
 	return srv.Desk.Choose(now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), snp.Catalog, snp.Fleet, req)
@@ -249,7 +253,7 @@
 	defer srv.mutex.Unlock()
 	flt := srv.Desk.Begin(id, wrk)
 	if wrk.Tokens > 0 && srv.OnWork != nil {
-		srv.OnWork()
+		srv.OnWork(id)
 	}
 	return flt
 }
@@ -264,6 +268,9 @@
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
 	srv.Desk.End(flt)
+	if flt.Work.Tokens > 0 && srv.OnWork != nil {
+		srv.OnWork(flt.Endpoint)
+	}
 }
 
 func (srv *Server) noteFailure(id string, unreachable bool) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -96,12 +96,13 @@
 	}
 }
 
+// usualOutputShare is the mean length of an output as a part of the longest one. Callers' estimates are right at the
+// median only; sums of many generations are closer to the mean.
+const usualOutputShare = 0.4
+
 // expectedWork is what a generation is expected to need.
 func expectedWork(rqs *request) dispatch.Work {
-	output := rqs.MaxTokens / 2
-	if rqs.LengthHint > 0 {
-		output = min(rqs.LengthHint, max(rqs.MaxTokens, 1))
-	}
+	output := int(usualOutputShare * float64(rqs.MaxTokens))
 	return dispatch.Work{Tokens: rqs.PromptTokens + output, Prefill: rqs.PromptTokens}
 }
 
