Turn generations away early when all engines are full

Change: an engine is full above its memory or when the first event would come after 0.8 of its target; a request waits for a ninth of its target, and its caller is told to come back in time for it; brief requests may fill an engine to 1.08; 16 daemons use one engine.

--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -34,6 +34,11 @@
 	// prefillTokensPerSecond is how fast an engine reads prompts beside running generations:
 	// a chunk of 112 tokens in each step of about 15 ms.
 	prefillTokensPerSecond = 7000
+	// briefLimit is how far brief requests may fill an engine, as they are gone before the others have grown.
+	briefLimit = 1.08
+	// delayLimit is the expected time to the first event, as a part of its target, above which an engine is full:
+	// a generation that begins late is worth a sixth, and takes the place of one that could begin in time.
+	delayLimit = 0.8
 	// memoryWeight weighs the use of memory against the wait for the first event as a part of its target.
 	memoryWeight = 0.3
 )
@@ -61,6 +66,15 @@
 	Preferred map[string]bool
 	// Force chooses the best endpoint also if all are full.
 	Force bool
+	// Brief requests end soon and may fill an engine a little more.
+	Brief bool
+}
+
+func (req *Request) limit() float64 {
+	if req.Brief {
+		return briefLimit
+	}
+	return 1
 }
 
 // Choice is the outcome of a decision.
@@ -156,7 +170,11 @@
 		}
 		choice.Considered++
 		use := dsk.use(now, id, sta, &edp, engine, req)
-		if use > 1 && !req.Force {
+		delay := 0.0
+		if engine != nil {
+			delay = dsk.firstDelay(now, id, sta, req)
+		}
+		if !req.Force && (use > req.limit() || delay > delayLimit) {
 			if choice.Endpoint == nil {
 				choice.Reason = ReasonFull
 			}
@@ -164,7 +182,7 @@
 		}
 		score := use
 		if engine != nil {
-			score = memoryWeight*use + dsk.firstDelay(now, id, sta, req)
+			score = memoryWeight*use + delay
 		}
 		score += failureWeight*sta.failureShare(now) + rnd.Float64()*distancePenalty/2
 		switch {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -217,7 +217,7 @@
 // choose picks an endpoint for the request.
 func (srv *Server) choose(now time.Time, rqs *request, wrk dispatch.Work, force bool) dispatch.Choice {
 	return srv.decide(now, &dispatch.Request{
-		Service: rqs.service, Work: wrk, Target: rqs.route.Target, Excluded: rqs.excluded, Force: force,
+		Service: rqs.service, Work: wrk, Target: rqs.route.Target, Excluded: rqs.excluded, Force: force, Brief: rqs.route.Resumable,
 	})
 }
 
--- a/gateway/sharing.go
+++ b/gateway/sharing.go
@@ -9,8 +9,8 @@
 )
 
 // engineUsers is the number of daemons that send generations to one engine. They tell each other at once;
-// 8 are all daemons of a small deployment.
-const engineUsers = 8
+// With 8 the engines of one daemon were full at times while others had room.
+const engineUsers = 16
 
 // sharing divides the engines between the daemons.
 type sharing struct {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -17,8 +17,11 @@
 const (
 	// roomPoll is the time between two looks for room while a request waits.
 	roomPoll = 20 * time.Millisecond
-	// waitShare is the part of its target for which a stream waits for room.
-	waitShare = 0.5
+	// waitShare is the part of its target for which a stream waits for room; then its caller is told when to come
+	// back, early enough to be served in time.
+	waitShare = 0.11
+	// returnShare is that time as a part of the target.
+	returnShare = 0.35
 	// moveWait is how long a broken stream waits for the result of its move.
 	moveWait = 2 * time.Second
 	// silenceLimit is the pause after which a stream that may be resumed goes on at another engine.
@@ -116,7 +119,7 @@
 			if mayHaveRun {
 				return failed("no other engine takes work: %s", cho)
 			}
-			return notRun(fullRetry, "no engine takes work: %s", cho)
+			return notRun(max(fullRetry, time.Duration(returnShare*float64(rqs.route.Target))), "no engine takes work: %s", cho)
 		}
 		res, err := one.open(ctx, cho.Endpoint, Forward{LastEvent: rqs.LastEvent})
 		rqs.logger.WithFields(logrus.Fields{
@@ -159,8 +162,8 @@
 	until := rqs.begun.Add(time.Duration(waitShare * float64(rqs.route.Target)))
 	for {
 		now := one.server.Now()
-		cho := one.server.choose(now, rqs, one.work, !now.Before(until))
-		if cho.Endpoint != nil || cho.Reason != dispatch.ReasonFull || ctx.Err() != nil {
+		cho := one.server.choose(now, rqs, one.work, false)
+		if cho.Endpoint != nil || cho.Reason != dispatch.ReasonFull || ctx.Err() != nil || !now.Before(until) {
 			return cho
 		}
 		sleep(ctx, roomPoll)
