Log without blocking, trace a request over daemons' logs, and count

Cause: log lines went straight to standard output, so a reader that stops would have stalled requests; durations were bare nanoseconds, and nothing put the lines of one request in order. Tests: a stuck reader, a flood, and three walks (refused, broken, timed out) as scripts; go test -race passes for gateway and logline.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -15,6 +15,8 @@
 	// tickInterval is the time between two rounds of the control goroutine without input.
 	tickInterval = 100 * time.Millisecond
 	inputBuffer  = 64
+	// sourceStore is the source of what an entry in the store, or its absence, says.
+	sourceStore = "store"
 )
 
 // Snapshot is what the daemon believed at one moment; readers don't change it.
@@ -49,14 +51,16 @@
 	peers       map[string]Peer
 	storeReadAt time.Time
 	storeLost   bool
-	inputs      chan Input
-	snapshot    atomic.Pointer[Snapshot]
+	// sources says who told of endpoints that leave, if it wasn't the store.
+	sources  map[string]string
+	inputs   chan Input
+	snapshot atomic.Pointer[Snapshot]
 }
 
 // NewControl returns a control goroutine that knows nothing yet.
 func NewControl() *Control {
 	ctl := &Control{
-		Now: time.Now, fleet: catalog.NewFleet(), peers: map[string]Peer{}, inputs: make(chan Input, inputBuffer),
+		Now: time.Now, fleet: catalog.NewFleet(), peers: map[string]Peer{}, sources: map[string]string{}, inputs: make(chan Input, inputBuffer),
 	}
 	ctl.snapshot.Store(&Snapshot{})
 	return ctl
@@ -99,13 +103,30 @@
 	if ctl.OnChange != nil {
 		ctl.OnChange(snp)
 	}
-	if ctl.OnLeaving == nil {
-		return
-	}
 	for id := range snp.Fleet.Leaving {
 		_, known := old.Fleet.Leaving[id]
-		ctl.OnLeaving(id, !known)
+		if !known {
+			source, told := ctl.sources[id]
+			if !told {
+				source = sourceStore
+			}
+			delete(ctl.sources, id)
+			ctl.Logger.WithFields(logrus.Fields{"endpoint": id, "source": source, "listed": snp.has(id)}).Info("endpoint leaves")
+		}
+		if ctl.OnLeaving != nil {
+			ctl.OnLeaving(id, !known)
+		}
 	}
+	for id, edp := range snp.Fleet.Endpoints {
+		if !old.has(id) {
+			ctl.Logger.WithFields(logrus.Fields{"endpoint": id, "service": edp.Service, "address": edp.Address}).Debug("endpoint known")
+		}
+	}
+}
+
+func (snp *Snapshot) has(id string) bool {
+	_, listed := snp.Fleet.Endpoints[id]
+	return listed
 }
 
 // Published brings a configuration from the store or a peer.
@@ -185,7 +206,7 @@
 func (lea Leaving) Apply(now time.Time, ctl *Control) {
 	for id, bornAt := range lea.BornAt {
 		if ctl.fleet.MarkLeaving(now, id, bornAt) {
-			ctl.Logger.WithFields(logrus.Fields{"endpoint": id, "source": lea.Source}).Info("endpoint leaves")
+			ctl.sources[id] = lea.Source
 		}
 	}
 }
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -82,6 +82,15 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	var metrics *http.Server
+	if set.MetricsAddress != "" {
+		dmn.Server.Metrics.watch(dmn)
+		mux := http.NewServeMux()
+		mux.Handle("GET /metrics", dmn.Server.Metrics.Handler())
+		if metrics, err = dmn.serve(grp, set.MetricsAddress, mux); err != nil {
+			return trace.Wrap(err)
+		}
+	}
 	dmn.Logger.WithFields(logrus.Fields{"name": set.Name, "callerAddress": set.CallerAddress, "version": dmn.Version}).Info("gateway started")
 	select {
 	case <-ctx.Done():
@@ -91,6 +100,9 @@
 	stop()
 	_ = callers.Close()
 	_ = ready.Close()
+	if metrics != nil {
+		_ = metrics.Close()
+	}
 	dmn.Logger.Info("gateway stopped")
 	return trace.Wrap(grp.Wait())
 }
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+const metricsNamespace = "papayacroft_gateway"
+
+// firstEventBuckets put bounds at the targets of the deployments, 1.5 and 1.8 s.
+var firstEventBuckets = []float64{0.1, 0.2, 0.4, 0.7, 1, 1.5, 1.8, 2.5, 5, 10}
+
+// callBuckets put a bound at the target of plain calls, 0.1 s.
+var callBuckets = []float64{0.01, 0.02, 0.04, 0.07, 0.1, 0.2, 0.4, 0.6, 1, 2}
+
+// Metrics are the counters and histograms of a gateway.
+type Metrics struct {
+	registry *prometheus.Registry
+	// requests counts finished requests by kind and status; status 0 is an answer that broke off or nobody waited for.
+	requests *prometheus.CounterVec
+	// sends counts sends to endpoints by outcome.
+	sends *prometheus.CounterVec
+	// moves counts copies of generations off leaving engines by outcome.
+	moves *prometheus.CounterVec
+	calls, firstEvents,
+	pauses prometheus.Histogram
+}
+
+// NewMetrics returns metrics in a registry of their own.
+func NewMetrics() *Metrics {
+	met := &Metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "requests_total", Help: "Finished requests by kind and status.",
+		}, []string{"kind", "status"}),
+		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "sends_total", Help: "Sends to endpoints by outcome.",
+		}, []string{"outcome"}),
+		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "moves_total", Help: "Copies of generations off leaving engines by outcome.",
+		}, []string{"outcome"}),
+		calls: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: metricsNamespace, Name: "call_seconds", Help: "Time to the answer of plain calls.", Buckets: callBuckets,
+		}),
+		firstEvents: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: metricsNamespace, Name: "first_event_seconds", Help: "Time to the first event of streams.", Buckets: firstEventBuckets,
+		}),
+		pauses: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: metricsNamespace, Name: "longest_pause_seconds", Help: "Longest pause between two events of a complete stream.", Buckets: callBuckets,
+		}),
+	}
+	met.registry.MustRegister(met.requests, met.sends, met.moves, met.calls, met.firstEvents, met.pauses,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return met
+}
+
+// watch registers gauges of what the daemon believes.
+func (met *Metrics) watch(dmn *Daemon) {
+	gauge := func(name, help string, read func(snp *Snapshot) float64) {
+		met.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: metricsNamespace, Name: name, Help: help},
+			func() float64 { return read(dmn.Control.Snapshot()) }))
+	}
+	gauge("configuration_version", "Version of the configuration in force, 0 without one.", func(snp *Snapshot) float64 {
+		return float64(version(snp))
+	})
+	gauge("store_age_seconds", "Time since any daemon's last read of the store that this one knows of.", func(snp *Snapshot) float64 {
+		return time.Since(snp.StoreReadAt).Seconds()
+	})
+	gauge("endpoints", "Endpoints known.", func(snp *Snapshot) float64 { return float64(len(snp.Fleet.Endpoints)) })
+	gauge("endpoints_leaving", "Endpoints known to leave.", func(snp *Snapshot) float64 { return float64(len(snp.Fleet.Leaving)) })
+	gauge("peers_answering", "Other daemons that answer.", func(*Snapshot) float64 { return float64(len(dmn.Exchange.Answering())) })
+	gauge("requests_in_flight", "Requests being served.", func(*Snapshot) float64 { return float64(dmn.Server.InFlight()) })
+	gauge("draining", "1 from the signal to stop on.", func(*Snapshot) float64 {
+		if dmn.Server.Draining() {
+			return 1
+		}
+		return 0
+	})
+}
+
+// Handler serves the metrics.
+func (met *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(met.registry, promhttp.HandlerOpts{})
+}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -217,6 +217,7 @@
 	cpd, rounds, err := one.copyRunning(ctx, source, target)
 	if err != nil {
 		log.WithError(err).WithField("elapsed", one.server.Now().Sub(began)).Info("generation could not be copied")
+		one.server.Metrics.moves.WithLabelValues("failed").Inc()
 		return false
 	}
 	copied := one.server.Now()
@@ -227,6 +228,7 @@
 	log.WithFields(logrus.Fields{
 		"rounds": rounds, "copy": copied.Sub(began), "rest": one.server.Now().Sub(copied), "events": cpd.Events, "error": errorText(err),
 	}).Info("generation copied")
+	one.server.Metrics.moves.WithLabelValues("copied").Inc()
 	one.mutex.Lock()
 	one.copy = &copyAt{endpoint: target, name: engines.CopyName(source.Address, cpd.Handle)}
 	one.mutex.Unlock()
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -65,13 +65,13 @@
 			"endpoint": cho.Endpoint.ID, "choice": cho.String(), "outcome": res.String(), "status": ans.status(),
 			"elapsed": srv.Now().Sub(rqs.begun), "error": errorText(err),
 		}).Info("request sent")
+		srv.Metrics.sends.WithLabelValues(res.String()).Inc()
 		rqs.excluded[cho.Endpoint.ID] = true
 		again := false
 		switch res {
 		case outcomeAnswered:
 			if ans.response.StatusCode < 500 || !rqs.route.Repeatable() {
-				ans.write(wri, srv.Wire)
-				return nil
+				return srv.handOn(wri, rqs, ans)
 			}
 			last, again = ans, true
 		case outcomeNotRun:
@@ -96,8 +96,7 @@
 	}
 	switch {
 	case last != nil:
-		last.write(wri, srv.Wire)
-		return nil
+		return srv.handOn(wri, rqs, last)
 	case mayHaveRun && ctx.Err() != nil:
 		return expired("no answer before the deadline")
 	case mayHaveRun:
@@ -106,6 +105,14 @@
 	return notRun(fullRetry, "endpoints refused the request or took no connection")
 }
 
+// handOn writes an endpoint's answer to the caller.
+func (srv *Server) handOn(wri http.ResponseWriter, rqs *request, ans *plainAnswer) *refusal {
+	ans.write(wri, srv.Wire)
+	rqs.status = ans.response.StatusCode
+	srv.Metrics.calls.Observe(srv.Now().Sub(rqs.begun).Seconds())
+	return nil
+}
+
 // attempts is the number of endpoints to which the request may be sent.
 // An endpoint that refuses has not run the request, so a route for one endpoint allows another one then.
 func (srv *Server) attempts(rqs *request, res outcome) int {
--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -22,6 +22,7 @@
 
 	"papayacroft/document"
 	"papayacroft/gateway"
+	"papayacroft/logline"
 	"papayacroft/platform"
 	"papayacroft/settings"
 	"papayacroft/standin"
@@ -258,6 +259,17 @@
 			_ = res.Body.Close()
 			return res.StatusCode == sit.number(args[2])
 		})
+	case "traced": // traced CALL TEXT...: the printed history of the call, as papayacroft trace shows it, has the text
+		text := strings.Join(args[2:], " ")
+		sit.await("a line of the history with "+text, func() bool {
+			lines, err := logline.Read(strings.NewReader(sit.logs.String()), func(*logline.Line) bool { return true })
+			if err != nil {
+				sit.fatalf("%v", err)
+			}
+			var out strings.Builder
+			logline.Print(&out, logline.History(lines, sit.calls[args[1]].id))
+			return strings.Contains(out.String(), text)
+		})
 	case "logged": // logged TEXT...
 		text := strings.Join(args[1:], " ")
 		sit.await("a log line", func() bool { return strings.Contains(sit.logs.String(), text) })
@@ -401,7 +413,7 @@
 func (sit *site) startDaemon(name, domain string) {
 	logger := logrus.New()
 	logger.SetOutput(sit.logs)
-	logger.SetFormatter(&logrus.JSONFormatter{})
+	logger.SetFormatter(logline.NewFormatter(name))
 	set := &settings.Gateway{
 		Name: name, FailureDomain: domain, CallerAddress: sit.freeAddress(), ReadyAddress: sit.freeAddress(),
 		PeerAddress: sit.freeAddress(), StoreAddress: sit.address, DrainNotice: document.Duration(8 * time.Second),
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,6 +49,7 @@
 	Engines Engines
 	Desk    *dispatch.Desk
 	Budget  *dispatch.Budget
+	Metrics *Metrics
 	Logger  logrus.FieldLogger
 	Now     func() time.Time
 	// DrainNotice is the time from the signal to stop to the end of the process.
@@ -68,7 +70,7 @@
 
 // NewServer returns a server that uses the present time.
 func NewServer() *Server {
-	return &Server{Now: time.Now, Desk: dispatch.NewDesk(), Budget: dispatch.NewBudget(), streams: newStreams()}
+	return &Server{Now: time.Now, Desk: dispatch.NewDesk(), Budget: dispatch.NewBudget(), Metrics: NewMetrics(), streams: newStreams()}
 }
 
 // InFlight returns the number of requests being served.
@@ -90,6 +92,16 @@
 	logger       logrus.FieldLogger
 	excluded     map[string]bool
 	sends        int
+	// status is the status of the answer that was handed on, 0 if it broke off.
+	status int
+}
+
+// kind is the kind of the request's route, for metrics.
+func (rqs *request) kind() string {
+	if rqs.route == nil {
+		return "none"
+	}
+	return string(rqs.route.Kind)
 }
 
 // ServeHTTP answers one request.
@@ -110,8 +122,10 @@
 		}
 	}
 	if ref == nil {
+		srv.Metrics.requests.WithLabelValues(rqs.kind(), strconv.Itoa(rqs.status)).Inc()
 		return
 	}
+	srv.Metrics.requests.WithLabelValues(rqs.kind(), strconv.Itoa(ref.status)).Inc()
 	rqs.logger.WithFields(logrus.Fields{
 		"status": ref.status, "reason": ref.reason, "retryAfter": ref.retryAfter, "sends": rqs.sends, "elapsed": srv.Now().Sub(now),
 	}).Info("request refused")
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -94,6 +94,7 @@
 			return failed("the engine broke off before the first event: %v", err)
 		}
 		rqs.logger.WithFields(logrus.Fields{"events": one.events, "elapsed": srv.Now().Sub(rqs.begun)}).Warn("stream ended early")
+		srv.Metrics.requests.WithLabelValues(rqs.kind(), "0").Inc()
 		// The caller must not take the answer for complete.
 		panic(http.ErrAbortHandler)
 	}
@@ -126,6 +127,7 @@
 			"endpoint": cho.Endpoint.ID, "choice": cho.String(), "outcome": res.String(), "tokens": one.work.Tokens,
 			"elapsed": srv.Now().Sub(rqs.begun), "error": errorText(err),
 		}).Info("request sent")
+		srv.Metrics.sends.WithLabelValues(res.String()).Inc()
 		if res == outcomeAnswered {
 			return one.checkHead()
 		}
@@ -220,8 +222,7 @@
 	if err != nil {
 		return failed("the engine's answer broke off: %v", err)
 	}
-	(&plainAnswer{response: res, body: body}).write(one.writer, one.server.Wire)
-	return nil
+	return one.server.handOn(one.writer, one.request, &plainAnswer{response: res, body: body})
 }
 
 // leave ends the connection to the present engine.
@@ -310,6 +311,11 @@
 // finish ends a complete stream.
 func (one *run) finish() error {
 	one.writeHead()
+	one.status = one.link.Response.StatusCode
+	if !one.firstAt.IsZero() {
+		one.server.Metrics.firstEvents.Observe(one.firstAt.Sub(one.begun).Seconds())
+		one.server.Metrics.pauses.Observe(one.pause.Seconds())
+	}
 	one.logger.WithFields(logrus.Fields{
 		"endpoint": one.endpoint.ID, "events": one.events, "elapsed": one.server.Now().Sub(one.begun),
 		"first": one.firstAt.Sub(one.begun), "pause": one.pause, "maxTokens": one.MaxTokens, "hint": one.LengthHint, "prompt": one.PromptTokens,
--- a/papayacroft/main.go
+++ b/papayacroft/main.go
@@ -76,6 +76,6 @@
 	flags.StringVar(&opt.logURL, "log", "http://127.0.0.1:9001", "base `URL` of the platform's log")
 	flags.StringVar(&opt.output, "output", "text", "output `format`: text or json")
 	cmd.AddCommand(newCmdCheck(opt), newCmdPublish(opt), newCmdStatus(opt), newCmdExplain(opt),
-		newCmdDrain(opt), newCmdHistory(opt), newCmdVersion(opt))
+		newCmdDrain(opt), newCmdHistory(opt), newCmdTrace(opt), newCmdVersion(opt))
 	return cmd
 }
--- a/papayacroftd/cmd_gateway.go
+++ b/papayacroftd/cmd_gateway.go
@@ -1,14 +1,17 @@
 package main
 
 import (
+	"context"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 
 	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
 
 	"papayacroft/gateway"
+	"papayacroft/logline"
 	"papayacroft/platform"
 	"papayacroft/settings"
 )
@@ -37,6 +40,14 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	out := logline.NewWriter(os.Stdout)
+	logging, stopLogging := context.WithCancel(context.Background())
+	var written sync.WaitGroup
+	written.Go(func() { out.Run(logging) })
+	defer written.Wait()
+	defer stopLogging()
+	logger.SetOutput(out)
+	logger.SetFormatter(logline.NewFormatter(set.Name))
 	dmn := gateway.NewDaemon()
 	dmn.Settings, dmn.Logger, dmn.Version = set, logger, version
 	platform.Attach(dmn)
