Split the sending loops and the choice of endpoints into short functions; test decisions by load patterns

Cause: the linter found two sending loops and the choice too complex, and the decisions had no tests of their own.

--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -74,7 +74,7 @@
 	}
 	cnt.steps = kept
 	if len(kept) == 0 || now.Sub(kept[len(kept)-1].at) >= budgetStep {
-		cnt.steps = append(kept, budgetStepCount{at: now})
+		cnt.steps = append(cnt.steps, budgetStepCount{at: now})
 	}
 	return &cnt.steps[len(cnt.steps)-1]
 }
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -158,43 +158,19 @@
 	choice := Choice{Reason: ReasonNoEndpoint, Score: math.Inf(1)}
 	engine := cat.Services[req.Service].Engine
 	for id, edp := range flt.Endpoints {
-		if edp.Service != req.Service || edp.State != catalog.StateReady || req.Excluded[id] || preferred && !req.Preferred[id] {
-			continue
-		}
-		if _, leaving := flt.Leaving[id]; leaving {
-			continue
-		}
-		sta := dsk.endpoint(id)
-		if now.Before(sta.avoidUntil) {
+		sta, ok := dsk.eligible(now, flt, &edp, req)
+		if !ok || preferred && !req.Preferred[id] {
 			continue
 		}
 		choice.Considered++
-		use := dsk.use(now, id, sta, &edp, engine, req)
-		delay := 0.0
-		if engine != nil {
-			delay = dsk.firstDelay(now, id, sta, req)
-		}
-		if !req.Force && (use > req.limit() || delay > delayLimit) {
+		score, full := dsk.rate(now, sta, &edp, engine, req)
+		if full && !req.Force {
 			if choice.Endpoint == nil {
 				choice.Reason = ReasonFull
 			}
 			continue
 		}
-		score := use
-		if engine != nil {
-			score = memoryWeight*use + delay
-		}
-		score += failureWeight*sta.failureShare(now) + rnd.Float64()*distancePenalty/2
-		switch {
-		case req.Source != "" && edp.FailureDomain != req.Source:
-			score += copyPenalty
-		case req.Source == "" && edp.FailureDomain != dsk.FailureDomain:
-			score += distancePenalty
-		}
-		if now.Before(edp.WarmAt) {
-			score += coldPenalty
-		}
-		if score < choice.Score {
+		if score += rnd.Float64() * distancePenalty / 2; score < choice.Score {
 			choice.Endpoint, choice.Score = &edp, score
 		}
 	}
@@ -204,6 +180,39 @@
 	return choice
 }
 
+// eligible reports whether an endpoint takes the request at any load.
+func (dsk *Desk) eligible(now time.Time, flt catalog.FleetView, edp *catalog.Endpoint, req *Request) (*endpoint, bool) {
+	if edp.Service != req.Service || edp.State != catalog.StateReady || req.Excluded[edp.ID] {
+		return nil, false
+	}
+	if _, leaving := flt.Leaving[edp.ID]; leaving {
+		return nil, false
+	}
+	sta := dsk.endpoint(edp.ID)
+	return sta, !now.Before(sta.avoidUntil)
+}
+
+// rate scores an endpoint, lower is better, and reports whether it is full.
+func (dsk *Desk) rate(now time.Time, sta *endpoint, edp *catalog.Endpoint, engine *catalog.Engine, req *Request) (score float64, full bool) {
+	use := dsk.use(now, edp.ID, sta, edp, engine, req)
+	score, full = use, use > req.limit()
+	if engine != nil {
+		delay := dsk.firstDelay(now, edp.ID, sta, req)
+		score, full = memoryWeight*use+delay, full || delay > delayLimit
+	}
+	score += failureWeight * sta.failureShare(now)
+	switch {
+	case req.Source != "" && edp.FailureDomain != req.Source:
+		score += copyPenalty
+	case req.Source == "" && edp.FailureDomain != dsk.FailureDomain:
+		score += distancePenalty
+	}
+	if now.Before(edp.WarmAt) {
+		score += coldPenalty
+	}
+	return score, full
+}
+
 // use is the part of the endpoint's capacity that is taken with the request on it; 1 is full.
 func (dsk *Desk) use(now time.Time, id string, sta *endpoint, edp *catalog.Endpoint, engine *catalog.Engine, req *Request) float64 {
 	flights, tokens := sta.own.Flights, sta.own.Tokens
--- /dev/null
+++ b/dispatch/desk_test.go
@@ -0,0 +1,207 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"papayacroft/catalog"
+)
+
+var testNow = time.Unix(1_700_000_000, 0)
+
+type deskEngine struct {
+	Domain, State string
+	Own           []Work
+	Peers         map[string]Usage
+	PeerAge       time.Duration `yaml:"peerAge"`
+	Failures      int
+	Successes     int
+	Running       int
+	Unreachable   bool
+	Leaves        bool
+}
+
+type deskCase struct {
+	Name, Guards, Service string
+	Capacity              int
+	Engines               map[string]deskEngine
+	Preferred             []string
+	Request               struct {
+		Tokens, Prefill int
+		Target          time.Duration
+		Source          string
+		Force, Brief    bool
+	}
+	Want   string
+	Reason Reason
+}
+
+// Each case of testdata/desk.yaml replays a load pattern against one decision.
+func TestChoose(t *testing.T) {
+	data, err := os.ReadFile("testdata/desk.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []deskCase
+	if err := yaml.Unmarshal(data, &cases); err != nil || len(cases) == 0 {
+		t.Fatalf("got %d cases, error %v; want some", len(cases), err)
+	}
+	for _, cse := range cases {
+		t.Run(cse.Name, func(t *testing.T) {
+			t.Log(cse.Guards)
+			// Ties are broken at random, so each case is decided several times.
+			for seed := range uint64(20) {
+				cho := cse.choose(rand.New(rand.NewPCG(seed, 1)))
+				got := ""
+				if cho.Endpoint != nil {
+					got = cho.Endpoint.ID
+				}
+				if got != cse.Want || cho.Reason != cse.Reason {
+					t.Fatalf("got endpoint %q, reason %q (%s), want %q, %q", got, cho.Reason, cho, cse.Want, cse.Reason)
+				}
+			}
+		})
+	}
+}
+
+func (cse *deskCase) choose(rnd *rand.Rand) Choice {
+	service := "pool"
+	if cse.Service != "" {
+		service = cse.Service
+	}
+	capacity := 10000
+	if cse.Capacity > 0 {
+		capacity = cse.Capacity
+	}
+	cat := catalog.NewCatalog(1, nil, []catalog.Service{
+		{Name: "pool", Engine: &catalog.Engine{Slots: 8, CapacityTokens: capacity}}, {Name: "desk"},
+	}, nil)
+	vew := catalog.FleetView{Endpoints: map[string]catalog.Endpoint{}, Leaving: map[string]catalog.Mark{}}
+	dsk := NewDesk()
+	dsk.FailureDomain = "a"
+	for id, eng := range cse.Engines {
+		state := catalog.StateReady
+		if eng.State != "" {
+			state = catalog.State(eng.State)
+		}
+		vew.Endpoints[id] = catalog.Endpoint{ID: id, Service: service, FailureDomain: eng.Domain, State: state, Slots: 8}
+		if eng.Leaves {
+			vew.Leaving[id] = catalog.Mark{At: testNow}
+		}
+		eng.apply(dsk, id)
+	}
+	req := Request{
+		Service: service, Work: Work{Tokens: cse.Request.Tokens, Prefill: cse.Request.Prefill}, Target: cse.Request.Target,
+		Source: cse.Request.Source, Force: cse.Request.Force || service == "desk", Brief: cse.Request.Brief,
+	}
+	if cse.Preferred != nil {
+		req.Preferred = map[string]bool{}
+		for _, id := range cse.Preferred {
+			req.Preferred[id] = true
+		}
+	}
+	return dsk.Choose(testNow, rnd, cat, vew, &req)
+}
+
+// apply brings the desk to know what the case says of the engine.
+func (eng *deskEngine) apply(dsk *Desk, id string) {
+	for _, wrk := range eng.Own {
+		dsk.Begin(id, wrk)
+	}
+	for name, usg := range eng.Peers {
+		dsk.Peer(testNow.Add(-eng.PeerAge), name, map[string]Usage{id: usg})
+	}
+	for range eng.Failures {
+		dsk.Failed(testNow, id, false)
+	}
+	for range eng.Successes {
+		dsk.Succeeded(testNow, id)
+	}
+	if eng.Unreachable {
+		dsk.Failed(testNow, id, true)
+	}
+	if eng.Running > 0 {
+		dsk.Reported(testNow, id, eng.Running, 0)
+	}
+}
+
+// Counts must return to zero, or an engine looks busier with each request.
+func TestFlightsEnd(t *testing.T) {
+	dsk := NewDesk()
+	one, two := dsk.Begin("e", Work{Tokens: 30, Prefill: 20}), dsk.Begin("e", Work{Tokens: 5, Prefill: 5})
+	dsk.Started(one)
+	dsk.End(one)
+	dsk.End(two)
+	if got, want := len(dsk.Own()), 0; got != want {
+		t.Errorf("got %d endpoints with work, want %d", got, want)
+	}
+	if got, want := dsk.endpoint("e").own, (Usage{}); got != want {
+		t.Errorf("got usage %+v, want %+v", got, want)
+	}
+}
+
+// All daemons together must stay within the ratio and the allowance, however requests and repeats mix.
+func TestBudgetIsShared(t *testing.T) {
+	const daemons, requests = 7, 300
+	total := 0
+	for range daemons {
+		bud := NewBudget()
+		bud.SetLimits(0.2, 54, 10*time.Second)
+		bud.Daemons = daemons
+		for i := range requests {
+			now := testNow.Add(time.Duration(i) * 10 * time.Millisecond)
+			bud.Request(now, "desk")
+			for bud.Spend(now, "desk") {
+				total++
+			}
+		}
+	}
+	if got, want := total, int(0.2*daemons*requests+54); got > want {
+		t.Errorf("got %d repeats in a window, want at most %d", got, want)
+	}
+	if total == 0 {
+		t.Error("got no repeat, want some")
+	}
+}
+
+// Copies must follow each other over the engine's link, the same for all daemons, the smallest first.
+func TestCopyPlan(t *testing.T) {
+	copies := []Copy{{"c", 3000}, {"a", 1000}, {"b", 1000}}
+	perToken := func(tokens int) time.Duration { return time.Duration(tokens) * 100 * time.Microsecond }
+	got := CopyPlan(copies, perToken)
+	want := map[string]time.Duration{"a": 0, "b": 100*time.Millisecond + copyOverhead, "c": 200*time.Millisecond + 2*copyOverhead}
+	for id := range want {
+		if got[id] != want[id] {
+			t.Errorf("got start %s of %s, want %s", got[id], id, want[id])
+		}
+	}
+}
+
+// Members that know each other must choose the same users, and each engine must have its number of them.
+func TestUsersAgree(t *testing.T) {
+	members := []string{"d1", "d2", "d3", "d4", "d5", "d6", "d7", "d8", "d9"}
+	other := []string{"d9", "d8", "d7", "d6", "d5", "d4", "d3", "d2", "d1"}
+	used := map[string]int{}
+	for engine := range 200 {
+		id := string(rune('A' + engine))
+		got, want := Users(id, members, 3), Users(id, other, 3)
+		if len(got) != 3 {
+			t.Fatalf("got %d users, want 3", len(got))
+		}
+		for i := range got {
+			if got[i] != want[i] {
+				t.Fatalf("got users %v, want %v", got, want)
+			}
+			used[got[i]]++
+		}
+	}
+	for _, name := range members {
+		if got, least := used[name], 30; got < least {
+			t.Errorf("got %d engines for %s, want at least %d of 66 on average", got, name, least)
+		}
+	}
+}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -111,7 +111,7 @@
 				source = sourceStore
 			}
 			delete(ctl.sources, id)
-			ctl.Logger.WithFields(logrus.Fields{"endpoint": id, "source": source, "listed": snp.has(id)}).Info("endpoint leaves")
+			ctl.Logger.WithFields(logrus.Fields{fieldEndpoint: id, "source": source, "listed": snp.has(id)}).Info("endpoint leaves")
 		}
 		if ctl.OnLeaving != nil {
 			ctl.OnLeaving(id, !known)
@@ -119,7 +119,7 @@
 	}
 	for id, edp := range snp.Fleet.Endpoints {
 		if !old.has(id) {
-			ctl.Logger.WithFields(logrus.Fields{"endpoint": id, "service": edp.Service, "address": edp.Address}).Debug("endpoint known")
+			ctl.Logger.WithFields(logrus.Fields{fieldEndpoint: id, "service": edp.Service, "address": edp.Address}).Debug("endpoint known")
 		}
 	}
 }
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 )
@@ -43,7 +44,7 @@
 		if err == nil || eventsEnd(evr.buffer) > 0 {
 			continue
 		}
-		if err == io.EOF && len(evr.buffer) > 0 {
+		if errors.Is(err, io.EOF) && len(evr.buffer) > 0 {
 			if !evr.framed {
 				return nil, io.ErrUnexpectedEOF
 			}
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -97,7 +97,7 @@
 	} else if err := req.Write(lnk.conn); err != nil {
 		return err
 	}
-	res, err := readResponse(bufio.NewReaderSize(lnk.conn, readBufferBytes), req)
+	res, err := readResponse(bufio.NewReaderSize(lnk.conn, readBufferBytes), req) //nolint:bodyclose // the body ends with the connection
 	lnk.Response = res
 	return err
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -39,10 +39,10 @@
 		}, []string{"kind", "status"}),
 		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metricsNamespace, Name: "sends_total", Help: "Sends to endpoints by outcome.",
-		}, []string{"outcome"}),
+		}, []string{fieldOutcome}),
 		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metricsNamespace, Name: "moves_total", Help: "Copies of generations off leaving engines by outcome.",
-		}, []string{"outcome"}),
+		}, []string{fieldOutcome}),
 		calls: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: metricsNamespace, Name: "call_seconds", Help: "Time to the answer of plain calls.", Buckets: callBuckets,
 		}),
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -131,10 +131,10 @@
 	defer cancel()
 	rpt, err := srv.Engines.Report(ctx, source.Address)
 	if err != nil {
-		srv.Logger.WithError(err).WithField("endpoint", source.ID).Info("engine did not report its generations")
+		srv.Logger.WithError(err).WithField(fieldEndpoint, source.ID).Info("engine did not report its generations")
 	}
 	starts := srv.moveStarts(&source, &rpt)
-	srv.Logger.WithFields(logrus.Fields{"endpoint": source.ID, "own": len(runs), "all": len(rpt.Runs), "leavesIn": rpt.LeavesIn.String()}).Info("moving generations")
+	srv.Logger.WithFields(logrus.Fields{fieldEndpoint: source.ID, "own": len(runs), "all": len(rpt.Runs), "leavesIn": rpt.LeavesIn.String()}).Info("moving generations")
 	for _, one := range runs {
 		go func() {
 			sleep(one.http.Context(), starts[one.ID])
@@ -216,7 +216,7 @@
 	began := one.server.Now()
 	cpd, rounds, err := one.copyRunning(ctx, source, target)
 	if err != nil {
-		log.WithError(err).WithField("elapsed", one.server.Now().Sub(began)).Info("generation could not be copied")
+		log.WithError(err).WithField(fieldElapsed, one.server.Now().Sub(began)).Info("generation could not be copied")
 		one.server.Metrics.moves.WithLabelValues("failed").Inc()
 		return false
 	}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -45,64 +45,86 @@
 	outcomeUnknown
 )
 
+// tries is what became of the sends of one request.
+type tries struct {
+	// answer is the last whole answer of an endpoint.
+	answer *plainAnswer
+	// mayHaveRun is true if an endpoint got the request and gave no answer.
+	mayHaveRun bool
+	unreached  int
+	// lack says why no endpoint was chosen.
+	lack string
+	// retryAfter is when the caller may come back if the request has not run.
+	retryAfter time.Duration
+}
+
 // serveCall sends a request to endpoints until one answers, as often as its route allows.
 func (srv *Server) serveCall(ctx context.Context, wri http.ResponseWriter, rqs *request) *refusal {
-	mayHaveRun := false
-	var last *plainAnswer
-	for unreached := 0; ; {
-		cho := srv.choose(srv.Now(), rqs, dispatch.Work{}, true)
-		if cho.Endpoint == nil {
-			if last != nil {
-				break
-			}
-			if mayHaveRun {
-				return failed("no other endpoint takes work: %s", cho)
-			}
-			return notRun(fullRetry, "no endpoint takes work: %s", cho)
-		}
-		ans, res, err := srv.sendCall(ctx, rqs, cho.Endpoint)
-		rqs.logger.WithFields(logrus.Fields{
-			"endpoint": cho.Endpoint.ID, "choice": cho.String(), "outcome": res.String(), "status": ans.status(),
-			"elapsed": srv.Now().Sub(rqs.begun), "error": errorText(err),
-		}).Info("request sent")
-		srv.Metrics.sends.WithLabelValues(res.String()).Inc()
-		rqs.excluded[cho.Endpoint.ID] = true
-		again := false
-		switch res {
-		case outcomeAnswered:
-			if ans.response.StatusCode < 500 || !rqs.route.Repeatable() {
-				return srv.handOn(wri, rqs, ans)
-			}
-			last, again = ans, true
-		case outcomeNotRun:
-			again = true
-		case outcomeUnreached:
-			unreached++
-		case outcomeUnknown:
-			mayHaveRun, again = true, rqs.route.Repeatable()
-		}
-		if rqs.http.Context().Err() != nil {
-			return failed("the caller left")
-		}
-		if ctx.Err() != nil {
-			break
-		}
-		if res != outcomeUnreached && (!again || rqs.sends >= srv.attempts(rqs, res) || !srv.spend(rqs)) {
-			break
-		}
-		if unreached >= maxUnreached {
-			break
-		}
+	trs := &tries{retryAfter: fullRetry}
+	for again := true; again; {
+		again = srv.tryCall(ctx, rqs, trs)
+	}
+	if trs.answer != nil {
+		return srv.handOn(wri, rqs, trs.answer)
 	}
+	return trs.refusal(ctx, rqs)
+}
+
+// refusal ends a request that got no answer.
+func (trs *tries) refusal(ctx context.Context, rqs *request) *refusal {
 	switch {
-	case last != nil:
-		return srv.handOn(wri, rqs, last)
-	case mayHaveRun && ctx.Err() != nil:
+	case rqs.http.Context().Err() != nil:
+		return failed("the caller left")
+	case trs.mayHaveRun && ctx.Err() != nil:
 		return expired("no answer before the deadline")
-	case mayHaveRun:
+	case trs.mayHaveRun:
 		return failed("the endpoint's answer was lost")
+	case trs.lack != "":
+		return notRun(trs.retryAfter, "no endpoint takes work: %s", trs.lack)
 	}
-	return notRun(fullRetry, "endpoints refused the request or took no connection")
+	return notRun(trs.retryAfter, "endpoints refused the request or took no connection")
+}
+
+// tryCall sends the request once and reports whether it is to be sent again.
+func (srv *Server) tryCall(ctx context.Context, rqs *request, trs *tries) bool {
+	cho := srv.choose(srv.Now(), rqs, dispatch.Work{}, true)
+	if cho.Endpoint == nil {
+		trs.lack = cho.String()
+		return false
+	}
+	ans, res, err := srv.sendCall(ctx, rqs, cho.Endpoint)
+	srv.logSend(rqs, &cho, res, ans.status(), err)
+	if res == outcomeAnswered {
+		trs.answer = ans
+		if ans.response.StatusCode < http.StatusInternalServerError {
+			return false
+		}
+	}
+	return srv.sendAgain(ctx, rqs, trs, res)
+}
+
+// sendAgain notes the outcome of a send and reports whether the request may be sent to another endpoint.
+func (srv *Server) sendAgain(ctx context.Context, rqs *request, trs *tries, res outcome) bool {
+	switch res {
+	case outcomeUnreached:
+		trs.unreached++
+		return ctx.Err() == nil && trs.unreached < maxUnreached
+	case outcomeUnknown:
+		trs.mayHaveRun = true
+	}
+	if res != outcomeNotRun && !rqs.route.Repeatable() {
+		return false
+	}
+	return ctx.Err() == nil && rqs.sends < srv.attempts(rqs, res) && srv.spend(rqs)
+}
+
+func (srv *Server) logSend(rqs *request, cho *dispatch.Choice, res outcome, status int, err error) {
+	rqs.excluded[cho.Endpoint.ID] = true
+	srv.Metrics.sends.WithLabelValues(res.String()).Inc()
+	rqs.logger.WithFields(logrus.Fields{
+		fieldEndpoint: cho.Endpoint.ID, "choice": cho.String(), fieldOutcome: res.String(), "status": status,
+		fieldElapsed: srv.Now().Sub(rqs.begun), "error": errorText(err),
+	}).Info("request sent")
 }
 
 // handOn writes an endpoint's answer to the caller.
--- a/gateway/prober.go
+++ b/gateway/prober.go
@@ -60,7 +60,7 @@
 	if err != nil || !rpt.Leaves {
 		return
 	}
-	prb.Logger.WithFields(logrus.Fields{"endpoint": edp.ID, "leavesIn": rpt.LeavesIn.String()}).Info("engine reports that it leaves")
+	prb.Logger.WithFields(logrus.Fields{fieldEndpoint: edp.ID, "leavesIn": rpt.LeavesIn.String()}).Info("engine reports that it leaves")
 	prb.Control.Send(ctx, Leaving{BornAt: map[string]int64{edp.ID: edp.BornAt}, Source: "engine"})
 }
 
--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -149,9 +149,17 @@
 }
 
 func (sit *site) run(args []string) {
-	switch name := args[0]; name {
-	case "engine": // engine ID SERVICE DOMAIN [copy DURATION] [interval DURATION]
-		sit.startEngine(args[1:])
+	for _, one := range []func([]string) bool{sit.runSite, sit.runEndpoint, sit.runCaller, sit.runWait, sit.checkAnswer, sit.checkRuns} {
+		if one(args) {
+			return
+		}
+	}
+	sit.fatalf("command %q does not exist", args[0])
+}
+
+// runSite runs commands for the store, the operator and daemons; it reports whether it knows the command.
+func (sit *site) runSite(args []string) bool {
+	switch args[0] {
 	case "publish": // publish VERSION [without ROUTE|KEY]... [move ROUTE SERVICE]
 		sit.store.Put("keyed.op", "config", configuration(args[1], args[2:]))
 	case "garbage": // garbage TOPIC KEY: a record that can't be read
@@ -167,12 +175,25 @@
 	case "stopped": // stopped DAEMON: it has ended
 		sit.await("the daemon to end", func() bool {
 			select {
-			case <-sit.daemons[args[1]].done:
-				return true
+			case err := <-sit.daemons[args[1]].done:
+				return err == nil
 			default:
 				return false
 			}
 		})
+	case "elapse":
+		time.Sleep(sit.duration(args[1]))
+	default:
+		return false
+	}
+	return true
+}
+
+// runEndpoint runs commands for endpoints; it reports whether it knows the command.
+func (sit *site) runEndpoint(args []string) bool {
+	switch args[0] {
+	case "engine": // engine ID SERVICE DOMAIN [copy DURATION] [interval DURATION]
+		sit.startEngine(args[1:])
 	case "mode": // mode ENGINE MODE
 		sit.engines[args[1]].SetMode(standin.EngineMode(strings.ReplaceAll(args[2], "serves", "")))
 	case "drain": // drain ENGINE: its entry says that it drains
@@ -189,24 +210,70 @@
 		sit.engines[args[1]].Stop()
 		sit.engines[args[1]].server.CloseClientConnections()
 		_ = sit.engines[args[1]].server.Listener.Close()
+	default:
+		return false
+	}
+	return true
+}
+
+// runCaller runs commands for callers; it reports whether it knows the command.
+func (sit *site) runCaller(args []string) bool {
+	switch args[0] {
 	case "call": // call NAME DAEMON ROUTE [KEY]
 		sit.startCall(args[1], args[2], http.MethodPost, "/"+args[3]+"/x", args[4:])
 	case "stream": // stream NAME DAEMON ROUTE EVENTS [KEY]
 		sit.startCall(args[1], args[2], http.MethodPost, "/"+args[3]+"/x?events="+args[4], args[5:])
 	case "leave": // leave CALL: the caller closes its connection
 		sit.calls[args[1]].cancel()
-	case "elapse":
-		time.Sleep(sit.duration(args[1]))
 	default:
-		sit.check(args)
+		return false
 	}
+	return true
 }
 
-// check runs the commands that compare what callers and endpoints saw.
-func (sit *site) check(args []string) {
+// runWait runs commands that wait for what is to come; it reports whether it knows the command.
+func (sit *site) runWait(args []string) bool {
 	switch args[0] {
 	case "received": // received CALL COUNT: at least so many events have come
 		sit.await("events", func() bool { return len(sit.calls[args[1]].received()) >= sit.number(args[2]) })
+	case "until": // until DAEMON ROUTE STATUS [KEY]: calls get the status at last
+		sit.await("status "+args[3], func() bool {
+			name := fmt.Sprintf("until%d", len(sit.calls))
+			sit.startCall(name, args[1], http.MethodPost, "/"+args[2]+"/x", args[4:])
+			return sit.finished(name).status == sit.number(args[3])
+		})
+	case "ready": // ready DAEMON STATUS
+		sit.await("readiness", func() bool {
+			res, err := http.Get("http://" + sit.daemons[args[1]].ready + "/")
+			if err != nil {
+				return false
+			}
+			_ = res.Body.Close()
+			return res.StatusCode == sit.number(args[2])
+		})
+	case "logged": // logged TEXT...
+		text := strings.Join(args[1:], " ")
+		sit.await("a log line", func() bool { return strings.Contains(sit.logs.String(), text) })
+	case "traced": // traced CALL TEXT...: the printed history of the call, as papayacroft trace shows it, has the text
+		text := strings.Join(args[2:], " ")
+		sit.await("a line of the history with "+text, func() bool {
+			lines, err := logline.Read(strings.NewReader(sit.logs.String()), func(*logline.Line) bool { return true })
+			if err != nil {
+				sit.fatalf("%v", err)
+			}
+			var out strings.Builder
+			logline.Print(&out, logline.History(lines, sit.calls[args[1]].id))
+			return strings.Contains(out.String(), text)
+		})
+	default:
+		return false
+	}
+	return true
+}
+
+// checkAnswer runs commands that compare what callers got; it reports whether it knows the command.
+func (sit *site) checkAnswer(args []string) bool {
+	switch args[0] {
 	case "status": // status CALL STATUS
 		cal := sit.finished(args[1])
 		if got, want := cal.status, sit.number(args[2]); got != want {
@@ -230,6 +297,15 @@
 		if cal := sit.finished(args[1]); cal.retryAfter == "" {
 			sit.fatalf("got no time to come back, want one")
 		}
+	default:
+		return false
+	}
+	return true
+}
+
+// checkRuns runs commands that compare what endpoints ran; it reports whether it knows the command.
+func (sit *site) checkRuns(args []string) bool {
+	switch args[0] {
 	case "ran": // ran CALL COUNT [ENGINE]: runs that did not go on from a copy
 		want := sit.number(args[2])
 		sit.await(fmt.Sprintf("%d runs", want), func() bool { return len(sit.runs(args[1], args[3:])) == want })
@@ -244,38 +320,10 @@
 				sit.fatalf("got organisation %q, key passed on %t, want %q and no key", run.Organisation, run.Authorized, args[2])
 			}
 		}
-	case "until": // until DAEMON ROUTE STATUS [KEY]: calls get the status at last
-		sit.await("status "+args[3], func() bool {
-			name := fmt.Sprintf("until%d", len(sit.calls))
-			sit.startCall(name, args[1], http.MethodPost, "/"+args[2]+"/x", args[4:])
-			return sit.finished(name).status == sit.number(args[3])
-		})
-	case "ready": // ready DAEMON STATUS
-		sit.await("readiness", func() bool {
-			res, err := http.Get("http://" + sit.daemons[args[1]].ready + "/")
-			if err != nil {
-				return false
-			}
-			_ = res.Body.Close()
-			return res.StatusCode == sit.number(args[2])
-		})
-	case "traced": // traced CALL TEXT...: the printed history of the call, as papayacroft trace shows it, has the text
-		text := strings.Join(args[2:], " ")
-		sit.await("a line of the history with "+text, func() bool {
-			lines, err := logline.Read(strings.NewReader(sit.logs.String()), func(*logline.Line) bool { return true })
-			if err != nil {
-				sit.fatalf("%v", err)
-			}
-			var out strings.Builder
-			logline.Print(&out, logline.History(lines, sit.calls[args[1]].id))
-			return strings.Contains(out.String(), text)
-		})
-	case "logged": // logged TEXT...
-		text := strings.Join(args[1:], " ")
-		sit.await("a log line", func() bool { return strings.Contains(sit.logs.String(), text) })
 	default:
-		sit.fatalf("command %q does not exist", args[0])
+		return false
 	}
+	return true
 }
 
 func (sit *site) await(what string, done func() bool) {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -127,7 +127,7 @@
 	}
 	srv.Metrics.requests.WithLabelValues(rqs.kind(), strconv.Itoa(ref.status)).Inc()
 	rqs.logger.WithFields(logrus.Fields{
-		"status": ref.status, "reason": ref.reason, "retryAfter": ref.retryAfter, "sends": rqs.sends, "elapsed": srv.Now().Sub(now),
+		"status": ref.status, "reason": ref.reason, "retryAfter": ref.retryAfter, "sends": rqs.sends, fieldElapsed: srv.Now().Sub(now),
 	}).Info("request refused")
 	ref.write(wri)
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -53,7 +53,6 @@
 	lastEvent string
 	moving    chan struct{}
 	copy      *copyAt
-	backup    *catalog.Endpoint
 }
 
 // copyAt names a copy of the generation's memory and the engine that holds it.
@@ -83,7 +82,7 @@
 			rqs.logger.WithField("events", one.events).Info("caller left the stream")
 			return nil
 		}
-		rqs.logger.WithError(err).WithFields(logrus.Fields{"endpoint": one.endpoint.ID, "events": one.events}).Info("stream broke off")
+		rqs.logger.WithError(err).WithFields(logrus.Fields{fieldEndpoint: one.endpoint.ID, "events": one.events}).Info("stream broke off")
 		if ctx.Err() == nil && one.resume(ctx) {
 			continue
 		}
@@ -93,7 +92,7 @@
 			}
 			return failed("the engine broke off before the first event: %v", err)
 		}
-		rqs.logger.WithFields(logrus.Fields{"events": one.events, "elapsed": srv.Now().Sub(rqs.begun)}).Warn("stream ended early")
+		rqs.logger.WithFields(logrus.Fields{"events": one.events, fieldElapsed: srv.Now().Sub(rqs.begun)}).Warn("stream ended early")
 		srv.Metrics.requests.WithLabelValues(rqs.kind(), "0").Inc()
 		// The caller must not take the answer for complete.
 		panic(http.ErrAbortHandler)
@@ -112,50 +111,35 @@
 
 // start sends the request to engines until one begins to answer.
 func (one *run) start(ctx context.Context) *refusal {
-	srv, rqs := one.server, one.request
-	mayHaveRun := false
-	for unreached := 0; unreached < maxUnreached; {
-		cho := one.await(ctx)
-		if cho.Endpoint == nil {
-			if mayHaveRun {
-				return failed("no other engine takes work: %s", cho)
-			}
-			return notRun(max(fullRetry, time.Duration(returnShare*float64(rqs.route.Target))), "no engine takes work: %s", cho)
-		}
-		res, err := one.open(ctx, cho.Endpoint, Forward{LastEvent: rqs.LastEvent})
-		rqs.logger.WithFields(logrus.Fields{
-			"endpoint": cho.Endpoint.ID, "choice": cho.String(), "outcome": res.String(), "tokens": one.work.Tokens,
-			"elapsed": srv.Now().Sub(rqs.begun), "error": errorText(err),
-		}).Info("request sent")
-		srv.Metrics.sends.WithLabelValues(res.String()).Inc()
-		if res == outcomeAnswered {
-			return one.checkHead()
-		}
-		rqs.excluded[cho.Endpoint.ID] = true
-		if rqs.http.Context().Err() != nil || ctx.Err() != nil {
-			if rqs.sends > 0 && res == outcomeUnknown {
-				return expired("no answer before the deadline")
-			}
-			return notRun(fullRetry, "no engine took the request in time")
-		}
-		switch res {
-		case outcomeUnreached:
-			unreached++
-			continue
-		case outcomeUnknown:
-			if !rqs.route.Repeatable() {
-				return failed("the engine's answer was lost: %v", err)
-			}
-			mayHaveRun = true
-		}
-		if rqs.sends >= srv.attempts(rqs, res) || !srv.spend(rqs) {
-			break
-		}
+	trs := &tries{retryAfter: max(fullRetry, time.Duration(returnShare*float64(one.route.Target)))}
+	for again := true; again; {
+		again = one.tryStart(ctx, trs)
 	}
-	if mayHaveRun {
-		return failed("the engines' answers were lost")
+	if one.link != nil {
+		return one.checkHead()
+	}
+	return trs.refusal(ctx, one.request)
+}
+
+// tryStart sends the request once and reports whether it is to be sent again.
+func (one *run) tryStart(ctx context.Context, trs *tries) bool {
+	cho := one.await(ctx)
+	if cho.Endpoint == nil {
+		trs.lack = cho.String()
+		return false
+	}
+	res, err := one.open(ctx, cho.Endpoint, Forward{LastEvent: one.LastEvent})
+	status := 0
+	if res == outcomeAnswered {
+		status = one.link.Response.StatusCode
+	}
+	one.server.logSend(one.request, &cho, res, status, err)
+	if res == outcomeAnswered {
+		// The engine may be asked again if its answer breaks off.
+		delete(one.excluded, cho.Endpoint.ID)
+		return false
 	}
-	return notRun(fullRetry, "engines refused the request or took no connection")
+	return one.server.sendAgain(ctx, one.request, trs, res)
 }
 
 // await chooses an engine, waiting for room for a part of the request's target.
@@ -252,7 +236,7 @@
 			}
 			continue
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return one.finish()
 		}
 		return err
@@ -317,7 +301,7 @@
 		one.server.Metrics.pauses.Observe(one.pause.Seconds())
 	}
 	one.logger.WithFields(logrus.Fields{
-		"endpoint": one.endpoint.ID, "events": one.events, "elapsed": one.server.Now().Sub(one.begun),
+		fieldEndpoint: one.endpoint.ID, "events": one.events, fieldElapsed: one.server.Now().Sub(one.begun),
 		"first": one.firstAt.Sub(one.begun), "pause": one.pause, "maxTokens": one.MaxTokens, "hint": one.LengthHint, "prompt": one.PromptTokens,
 	}).Info("stream complete")
 	return nil
@@ -352,7 +336,7 @@
 		status = one.link.Response.StatusCode
 	}
 	one.logger.WithFields(logrus.Fields{
-		"endpoint": edp.ID, "from": last.ID, "copy": fwd.Copy, "lastEvent": fwd.LastEvent, "outcome": res.String(),
+		fieldEndpoint: edp.ID, "from": last.ID, "copy": fwd.Copy, "lastEvent": fwd.LastEvent, fieldOutcome: res.String(),
 		"status": status, "error": errorText(err),
 	}).Info("stream resumed")
 	if res != outcomeAnswered {
--- a/standin/keyedstore.go
+++ b/standin/keyedstore.go
@@ -189,11 +189,11 @@
 		return nil, true
 	}
 	end := top.first + int64(len(top.records))
-	data = binary.BigEndian.AppendUint64(nil, uint64(end))        //nolint:gosec // offsets are not negative
-	data = binary.BigEndian.AppendUint64(data, uint64(top.first)) //nolint:gosec // offsets are not negative
+	data = binary.BigEndian.AppendUint64(nil, uint64(end))
+	data = binary.BigEndian.AppendUint64(data, uint64(top.first))
 	for _, rec := range top.records {
 		if rec.offset >= from {
-			data = binary.BigEndian.AppendUint32(data, uint32(1+len(rec.key)+len(rec.value))) //nolint:gosec // records are small
+			data = binary.BigEndian.AppendUint32(data, uint32(1+len(rec.key)+len(rec.value)))
 			data = append(data, byte(len(rec.key)))
 			data = append(append(data, rec.key...), rec.value...)
 		}
--- a/standin/siteengine.go
+++ b/standin/siteengine.go
@@ -126,10 +126,10 @@
 
 // ServeHTTP answers requests and control calls.
 func (sen *SiteEngine) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
-	switch {
-	case req.URL.Path == "/-/report":
+	switch req.URL.Path {
+	case "/-/report":
 		sen.serveReport(wri)
-	case req.URL.Path == "/-/kv-move":
+	case "/-/kv-move":
 		sen.serveMove(wri, req)
 	default:
 		sen.serveRequest(wri, req)
