Tell and keep the work at engines by engine

Cause: each choice on a grown deployment looked through the work of 64 peers at 71 engines, and each notice had the work at all of a daemon's engines. Change: work is kept by endpoint, and a notice has the one engine that changed.

--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -122,11 +122,12 @@
 	FailureDomain string
 
 	endpoints map[string]*endpoint
-	peers     map[string]peerUsage
 }
 
 type endpoint struct {
-	own        Usage
+	own Usage
+	// peers has what other daemons told of their work there.
+	peers      map[string]peerUsage
 	report     Report
 	failures   float64
 	successes  float64
@@ -135,13 +136,13 @@
 }
 
 type peerUsage struct {
-	usage map[string]Usage
+	usage Usage
 	at    time.Time
 }
 
 // NewDesk returns a desk that knows nothing yet.
 func NewDesk() *Desk {
-	return &Desk{endpoints: map[string]*endpoint{}, peers: map[string]peerUsage{}}
+	return &Desk{endpoints: map[string]*endpoint{}}
 }
 
 // Choose rates the endpoints that take work and returns the best.
@@ -194,10 +195,10 @@
 
 // rate scores an endpoint, lower is better, and reports whether it is full.
 func (dsk *Desk) rate(now time.Time, sta *endpoint, edp *catalog.Endpoint, engine *catalog.Engine, req *Request) (score float64, full bool) {
-	use := dsk.use(now, edp.ID, sta, edp, engine, req)
+	use := sta.use(now, edp, engine, req)
 	score, full = use, use > req.limit()
 	if engine != nil {
-		delay := dsk.firstDelay(now, edp.ID, sta, req)
+		delay := sta.firstDelay(now, req)
 		score, full = memoryWeight*use+delay, full || delay > delayLimit
 	}
 	score += failureWeight * sta.failureShare(now)
@@ -214,12 +215,12 @@
 }
 
 // use is the part of the endpoint's capacity that is taken with the request on it; 1 is full.
-func (dsk *Desk) use(now time.Time, id string, sta *endpoint, edp *catalog.Endpoint, engine *catalog.Engine, req *Request) float64 {
+func (sta *endpoint) use(now time.Time, edp *catalog.Endpoint, engine *catalog.Engine, req *Request) float64 {
 	flights, tokens := sta.own.Flights, sta.own.Tokens
-	for _, per := range dsk.peers {
+	for _, per := range sta.peers {
 		if now.Sub(per.at) < usageLifetime {
-			flights += per.usage[id].Flights
-			tokens += per.usage[id].Tokens
+			flights += per.usage.Flights
+			tokens += per.usage.Tokens
 		}
 	}
 	if now.Sub(sta.report.At) < reportLifetime {
@@ -236,11 +237,11 @@
 // firstDelay is the expected time to the first event as a part of its target.
 // New engines are empty and get the requests of all daemons at once: their prompts are read one after the other,
 // and only the daemons' own counts show that in time.
-func (dsk *Desk) firstDelay(now time.Time, id string, sta *endpoint, req *Request) float64 {
+func (sta *endpoint) firstDelay(now time.Time, req *Request) float64 {
 	pending := float64(sta.own.Prefill)
-	for _, per := range dsk.peers {
+	for _, per := range sta.peers {
 		if age := now.Sub(per.at); age < usageLifetime {
-			pending += max(0, float64(per.usage[id].Prefill)-prefillTokensPerSecond*age.Seconds())
+			pending += max(0, float64(per.usage.Prefill)-prefillTokensPerSecond*age.Seconds())
 		}
 	}
 	return (pending + float64(req.Prefill)) / prefillTokensPerSecond / max(req.Target, time.Second).Seconds()
@@ -292,9 +293,27 @@
 	}
 }
 
-// Peer takes in the work that another daemon has at the endpoints.
+// Peer takes in the work that another daemon has at some endpoints.
 func (dsk *Desk) Peer(now time.Time, name string, usage map[string]Usage) {
-	dsk.peers[name] = peerUsage{usage: usage, at: now}
+	for id, usg := range usage {
+		sta := dsk.endpoint(id)
+		if usg == (Usage{}) {
+			delete(sta.peers, name)
+			continue
+		}
+		if sta.peers == nil {
+			sta.peers = map[string]peerUsage{}
+		}
+		sta.peers[name] = peerUsage{usage: usg, at: now}
+	}
+}
+
+// Work returns the work of this daemon at an endpoint.
+func (dsk *Desk) Work(id string) Usage {
+	if sta, ok := dsk.endpoints[id]; ok {
+		return sta.own
+	}
+	return Usage{}
 }
 
 // Own returns the work of this daemon by endpoint.
@@ -314,10 +333,10 @@
 		if _, listed := flt.Endpoints[id]; !listed && sta.own.Flights == 0 {
 			delete(dsk.endpoints, id)
 		}
-	}
-	for name, per := range dsk.peers {
-		if now.Sub(per.at) >= usageLifetime {
-			delete(dsk.peers, name)
+		for name, per := range sta.peers {
+			if now.Sub(per.at) >= usageLifetime {
+				delete(sta.peers, name)
+			}
 		}
 	}
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -184,33 +182,36 @@
 			return
 		case <-exc.work:
 			sleep(ctx, workDelay)
-			exc.notify(ctx, exc.changedUsers(), workMethod, &message{Name: exc.Name, Usage: exc.usage()})
+			exc.tellWork(ctx)
 		case part := <-exc.parts:
 			exc.forward(ctx, part)
 		}
 	}
 }
 
-// changedUsers returns the addresses of the daemons that use the engines whose work changed.
-func (exc *Exchange) changedUsers() []string {
+// tellWork tells the users of each engine whose work changed what this daemon has there.
+func (exc *Exchange) tellWork(ctx context.Context) {
 	exc.mutex.Lock()
 	changed := exc.changed
 	exc.changed = map[string]bool{}
 	exc.mutex.Unlock()
 	shr := exc.Server.sharing.Load()
 	if shr == nil {
-		return nil
+		return
 	}
 	answering := exc.Answering()
-	addresses := map[string]bool{}
 	for id := range changed {
+		exc.Server.mutex.Lock()
+		msg := &message{Name: exc.Name, Usage: map[string]dispatch.Usage{id: exc.Server.Desk.Work(id)}}
+		exc.Server.mutex.Unlock()
+		var addresses []string
 		for _, name := range shr.users[id] {
 			if per, ok := answering[name]; ok {
-				addresses[per.Address] = true
+				addresses = append(addresses, per.Address)
 			}
 		}
+		exc.notify(ctx, addresses, workMethod, msg)
 	}
-	return slices.Collect(maps.Keys(addresses))
 }
 
 // forward sends a part of a topic to all its addressees: to a first one of each group, which forwards it to the others.
