Divide engines once a tick

Cause: each input to the control goroutine divided the engines and looked through the desk again, 17% of the processor time of 40 daemons in one process.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -39,8 +39,8 @@
 type Control struct {
 	Logger logrus.FieldLogger
 	Now    func() time.Time
-	// OnChange, if set, learns of each new snapshot.
-	OnChange func(snp *Snapshot)
+	// OnTick, if set, gets the newest snapshot every tickInterval.
+	OnTick func(snp *Snapshot)
 	// OnVersion, if set, learns that a newer configuration is in force.
 	OnVersion func()
 	// OnLeaving, if set, learns in each round of each endpoint that leaves and whether that is new.
@@ -89,10 +89,14 @@
 			return
 		case inp := <-ctl.inputs:
 			inp.Apply(ctl.Now(), ctl)
+			ctl.publish()
 		case <-ticker.C:
+			ctl.fleet.Settle(ctl.Now())
+			ctl.publish()
+			if ctl.OnTick != nil {
+				ctl.OnTick(ctl.Snapshot())
+			}
 		}
-		ctl.fleet.Settle(ctl.Now())
-		ctl.publish()
 	}
 }
 
@@ -100,9 +104,6 @@
 	old := ctl.snapshot.Load()
 	snp := &Snapshot{Catalog: ctl.catalog, Fleet: ctl.fleet.View(), Peers: ctl.peers, StoreReadAt: ctl.storeReadAt}
 	ctl.snapshot.Store(snp)
-	if ctl.OnChange != nil {
-		ctl.OnChange(snp)
-	}
 	for id := range snp.Fleet.Leaving {
 		_, known := old.Fleet.Leaving[id]
 		if !known {
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -128,7 +128,7 @@
 		}
 		srv.EndpointLeaves(id)
 	}
-	dmn.Control.OnChange = func(snp *Snapshot) {
+	dmn.Control.OnTick = func(snp *Snapshot) {
 		srv.sharing.Store(newSharing(srv.sharing.Load(), snp, set.Name, dmn.Exchange.Members()))
 		srv.mutex.Lock()
 		defer srv.mutex.Unlock()
