Count no failure against endpoints for callers that left; wait for endpoints after a start

Change: a cancelled or expired send counts against nobody; an endpoint that took no connection is tried last instead of not at all; a daemon is ready once it knows endpoints, and a request waits 40 ms for them.

--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -18,8 +18,10 @@
 	reportLifetime = 2 * time.Second
 	// failureHalfLife is how fast failures are forgotten.
 	failureHalfLife = 3 * time.Second
-	// unreachablePause is how long an endpoint that took no connection is left alone.
+	// unreachablePause is how long an endpoint that took no connection is tried last.
 	unreachablePause = time.Second
+	// unreachablePenalty puts such an endpoint behind all others; it is still tried before a request is refused.
+	unreachablePenalty = 10.0
 	// failureWeight makes an endpoint that fails each request as unattractive as one with that many times its slots busy.
 	failureWeight = 3.0
 	// distancePenalty prefers endpoints of the same failure domain while the loads are about equal.
@@ -159,7 +161,7 @@
 	choice := Choice{Reason: ReasonNoEndpoint, Score: math.Inf(1)}
 	engine := cat.Services[req.Service].Engine
 	for id, edp := range flt.Endpoints {
-		sta, ok := dsk.eligible(now, flt, &edp, req)
+		sta, ok := dsk.eligible(flt, &edp, req)
 		if !ok || preferred && !req.Preferred[id] {
 			continue
 		}
@@ -182,15 +184,14 @@
 }
 
 // eligible reports whether an endpoint takes the request at any load.
-func (dsk *Desk) eligible(now time.Time, flt catalog.FleetView, edp *catalog.Endpoint, req *Request) (*endpoint, bool) {
+func (dsk *Desk) eligible(flt catalog.FleetView, edp *catalog.Endpoint, req *Request) (*endpoint, bool) {
 	if edp.Service != req.Service || edp.State != catalog.StateReady || req.Excluded[edp.ID] {
 		return nil, false
 	}
 	if _, leaving := flt.Leaving[edp.ID]; leaving {
 		return nil, false
 	}
-	sta := dsk.endpoint(edp.ID)
-	return sta, !now.Before(sta.avoidUntil)
+	return dsk.endpoint(edp.ID), true
 }
 
 // rate scores an endpoint, lower is better, and reports whether it is full.
@@ -211,6 +212,9 @@
 	if now.Before(edp.WarmAt) {
 		score += coldPenalty
 	}
+	if now.Before(sta.avoidUntil) {
+		score += unreachablePenalty
+	}
 	return score, full
 }
 
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -168,7 +168,8 @@
 
 // answerReady tells the balancer whether the daemon takes callers.
 func (dmn *Daemon) answerReady(wri http.ResponseWriter, _ *http.Request) {
-	if dmn.Server.Draining() || dmn.Control.Snapshot().Catalog == nil {
+	// A daemon that knows the routes but not the endpoints would turn each request away.
+	if snp := dmn.Control.Snapshot(); dmn.Server.Draining() || snp.Catalog == nil || len(snp.Fleet.Endpoints) == 0 {
 		wri.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- /dev/null
+++ b/gateway/failure_test.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"papayacroft/catalog"
+	"papayacroft/dispatch"
+)
+
+// A daemon that was frozen finds callers that left; that says nothing of the endpoints, and the next caller's request
+// must not be refused because of it (kowhai-votes scale-1, seed 288757404262: 11 refusals after a freeze of 3 s).
+func TestCallerThatLeftIsNoFailureOfTheEndpoint(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	edp := catalog.Endpoint{ID: "e", Service: "desk", Address: "127.0.0.1:1", State: catalog.StateReady, Slots: 4}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	ctl := NewControl()
+	ctl.snapshot.Store(&Snapshot{
+		Catalog: catalog.NewCatalog(1, nil, []catalog.Service{{Name: "desk"}}, nil),
+		Fleet:   catalog.FleetView{Endpoints: map[string]catalog.Endpoint{"e": edp}},
+	})
+	srv := NewServer()
+	srv.Board, srv.Logger, srv.Now = ctl, logger, func() time.Time { return now }
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	rqs := &request{
+		http: httptest.NewRequest("GET", "/", nil).WithContext(ctx), route: &catalog.Route{Attempts: 1},
+		service: "desk", deadline: now.Add(time.Second), logger: logger, excluded: map[string]bool{},
+	}
+	_, err := Open(ctx, edp.Address, &Outgoing{URL: rqs.http.URL})
+	srv.noteSendError(ctx, edp.ID, err)
+	if got, want := srv.choose(now, rqs, dispatch.Work{}, false).Score, 1.0; got >= want {
+		t.Errorf("got score %.2f, want less than %.2f as of an endpoint without failures", got, want)
+	}
+}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -155,14 +155,13 @@
 	flt := srv.begin(edp.ID, dispatch.Work{})
 	defer srv.end(flt)
 	lnk, err := Open(ctx, edp.Address, srv.outgoing(rqs, Forward{Endpoint: edp.ID, Priority: -1}))
+	srv.noteSendError(ctx, edp.ID, err)
 	var sendErr *SendError
 	if errors.As(err, &sendErr) && !sendErr.Sent {
-		srv.noteFailure(edp.ID, true)
 		return nil, outcomeUnreached, err
 	}
 	rqs.sends++
 	if err != nil {
-		srv.noteFailure(edp.ID, false)
 		return nil, outcomeUnknown, err
 	}
 	defer lnk.Close()
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -27,6 +27,9 @@
 	lastRequestTime = 3 * time.Second
 	// usualFirstEvent is the usual time to the first event of a generation.
 	usualFirstEvent = 500 * time.Millisecond
+	// endpointsWait is how long a request waits for the first endpoint after a start: the store answers in 4 ms.
+	endpointsWait = 40 * time.Millisecond
+	endpointsPoll = 4 * time.Millisecond
 	// defaultDeadline bounds requests of routes without a timeout.
 	defaultDeadline = time.Minute
 	// defaultMaxBodyBytes applies if the configuration has no limit.
@@ -139,9 +142,14 @@
 
 // admit finds the route and the organisation and reads the body.
 func (srv *Server) admit(now time.Time, wri http.ResponseWriter, rqs *request) *refusal {
-	cat := srv.Board.Snapshot().Catalog
-	if cat == nil {
+	snp := srv.Board.Snapshot()
+	cat := snp.Catalog
+	switch {
+	case cat == nil:
 		return notRun(noCatalogRetry, "no configuration is known yet")
+	case len(snp.Fleet.Endpoints) == 0:
+		// Endpoints are read at the same time as the configuration; the answer is a moment away.
+		srv.awaitEndpoints(rqs.http.Context())
 	}
 	rou := cat.Match(rqs.http.Host, rqs.http.URL.EscapedPath())
 	if rou == nil {
@@ -177,6 +185,15 @@
 	return srv.readBody(now, wri, rqs, cat.Limits.MaxBodyBytes)
 }
 
+// awaitEndpoints waits until some endpoint is known, for a short time.
+func (srv *Server) awaitEndpoints(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, endpointsWait)
+	defer cancel()
+	for len(srv.Board.Snapshot().Fleet.Endpoints) == 0 && ctx.Err() == nil {
+		sleep(ctx, endpointsPoll)
+	}
+}
+
 // Draining reports whether the daemon is about to stop.
 func (srv *Server) Draining() bool {
 	return srv.drainingSince.Load() != 0
@@ -287,10 +304,19 @@
 	}
 }
 
-func (srv *Server) noteFailure(id string, unreachable bool) {
+// noteSendError counts a send without an answer against the endpoint, unless the caller left or no time was left
+// to connect: a daemon that was frozen finds many such requests at once.
+func (srv *Server) noteSendError(ctx context.Context, id string, err error) {
+	var sendErr *SendError
+	if !errors.As(err, &sendErr) {
+		return
+	}
+	if errors.Is(context.Cause(ctx), context.Canceled) || !sendErr.Sent && ctx.Err() != nil {
+		return
+	}
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
-	srv.Desk.Failed(srv.Now(), id, unreachable)
+	srv.Desk.Failed(srv.Now(), id, !sendErr.Sent)
 }
 
 func (srv *Server) noteAnswer(id string, ans Answer, ok bool) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -169,7 +169,7 @@
 	var sendErr *SendError
 	if errors.As(err, &sendErr) {
 		srv.end(flt)
-		srv.noteFailure(edp.ID, !sendErr.Sent)
+		srv.noteSendError(ctx, edp.ID, err)
 		if !sendErr.Sent {
 			return outcomeUnreached, err
 		}
