--- /dev/null
+++ b/catalog/fleet_test.go
@@ -0,0 +1,117 @@
+package catalog
+
+import (
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+)
+
+var testNow = time.Unix(1_700_000_000, 0)
+
+type fleetStep struct {
+	At          time.Duration
+	Put, Remove string
+	Mark        string
+	Replace     []string
+	State       State
+	Born        int64
+	Outage      bool
+}
+
+type fleetCase struct {
+	Name, Guards string
+	Steps        []fleetStep
+	Want         []string
+}
+
+// Each case of testdata/fleet.yaml says which endpoints may get work after some entries.
+func TestFleet(t *testing.T) {
+	data, err := os.ReadFile("testdata/fleet.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []fleetCase
+	if err := yaml.Unmarshal(data, &cases); err != nil || len(cases) == 0 {
+		t.Fatalf("got %d cases, error %v; want some", len(cases), err)
+	}
+	for _, cse := range cases {
+		t.Run(cse.Name, func(t *testing.T) {
+			t.Log(cse.Guards)
+			flt := NewFleet()
+			for _, stp := range cse.Steps {
+				stp.apply(flt)
+			}
+			got := []string{}
+			for id, edp := range flt.Endpoints {
+				if _, leaving := flt.Leaving[id]; !leaving && edp.State == StateReady {
+					got = append(got, id)
+				}
+			}
+			slices.Sort(got)
+			if !slices.Equal(got, cse.Want) {
+				t.Errorf("got endpoints %v, want %v", got, cse.Want)
+			}
+		})
+	}
+}
+
+func (stp *fleetStep) apply(flt *Fleet) {
+	now := testNow.Add(stp.At)
+	flt.Settle(now)
+	state := StateReady
+	if stp.State != "" {
+		state = stp.State
+	}
+	switch {
+	case stp.Put != "":
+		flt.Put(now, Endpoint{ID: stp.Put, State: state, BornAt: stp.Born})
+	case stp.Remove != "":
+		flt.Remove(now, stp.Remove)
+	case stp.Mark != "":
+		flt.MarkLeaving(now, stp.Mark, stp.Born)
+	case stp.Outage:
+		flt.Outage(now)
+	case stp.Replace != nil:
+		var all []Endpoint
+		for _, id := range stp.Replace {
+			all = append(all, Endpoint{ID: id, State: StateReady})
+		}
+		flt.Replace(now, all)
+	}
+}
+
+// Requests go to the longest prefix of their host; hosts differ in case and port.
+func TestMatch(t *testing.T) {
+	cat := NewCatalog(1, []Route{
+		{Name: "short", Host: "a.example", PathPrefix: "/x/"}, {Name: "long", Host: "a.example", PathPrefix: "/x/y/"},
+		{Name: "other", Host: "b.example", PathPrefix: "/x/"},
+	}, nil, nil)
+	for _, cse := range []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"}, {"A.EXAMPLE:80", "/x/y/1", "long"}, {"b.example", "/x/y/1", "other"},
+		{"a.example", "/x", ""}, {"c.example", "/x/1", ""},
+	} {
+		got := ""
+		if rou := cat.Match(cse.host, cse.path); rou != nil {
+			got = rou.Name
+		}
+		if got != cse.want {
+			t.Errorf("got route %q of %s%s, want %q", got, cse.host, cse.path, cse.want)
+		}
+	}
+}
+
+// Weights divide a route's requests.
+func TestPick(t *testing.T) {
+	rou := Route{Shares: []Share{{"a", 90}, {"b", 10}}}
+	for _, cse := range []struct {
+		draw float64
+		want string
+	}{{0, "a"}, {0.89, "a"}, {0.91, "b"}, {0.999, "b"}} {
+		if got := rou.Pick(cse.draw); got != cse.want {
+			t.Errorf("got service %q for %.3f, want %q", got, cse.draw, cse.want)
+		}
+	}
+}
--- /dev/null
+++ b/settings/gateway_test.go
@@ -0,0 +1,50 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+)
+
+// All findings of a gateway's settings are reported at once, each with its line.
+func TestParseGatewayReportsEveryFinding(t *testing.T) {
+	_, lst := ParseGateway("gateway.yaml", []byte(`name: front-1
+failureDomain: a
+callerAddress: nowhere
+readyAddress: 127.0.0.1:1
+peerAddress: 127.0.0.1:2
+storeAddress: store:1
+drainNotice: 0s
+memoryMB: -1
+retries: {ratio: -1, extra: 0, window: 0s}
+log: {level: loud, format: json}
+`))
+	text := lst.Err().Error()
+	for _, want := range []string{
+		"gateway.yaml:3:", "callerAddress", "storeAddress", "drainNotice", "memoryMB", "retries", "retries.window", "log.level",
+	} {
+		if !strings.Contains(text, want) {
+			t.Errorf("got findings %s, want one with %q", text, want)
+		}
+	}
+}
+
+// What deploy/gateway.yaml renders is taken, with defaults for what it leaves out.
+func TestParseGateway(t *testing.T) {
+	set, lst := ParseGateway("gateway.yaml", []byte(`name: front-1
+failureDomain: a
+callerAddress: 10.0.0.1:1
+readyAddress: 10.0.0.1:2
+peerAddress: 10.0.0.1:3
+metricsAddress: 10.0.0.1:4
+storeAddress: 10.0.0.2:5
+drainNotice: 8s
+memoryMB: 134
+retries: {ratio: 0.2, extra: 54, window: 10s}
+`))
+	if err := lst.Err(); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := set.Log.Format, "json"; got != want {
+		t.Errorf("got log format %q, want %q", got, want)
+	}
+}
