Stop requests that crash the endpoints that run them, over all daemons

Cause: nothing recognised a request that crashes each endpoint; its caller's attempts went on crashing engines.

--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -69,6 +69,7 @@
 	peers := peer.NewServer()
 	peers.Logger = dmn.Logger
 	dmn.Exchange.Register(peers)
+	dmn.Exchange.RegisterCrashes(peers)
 	lis, err := net.Listen("tcp", set.PeerAddress)
 	if err != nil {
 		return trace.Wrap(err)
@@ -118,6 +119,7 @@
 	srv.DrainNotice = time.Duration(set.DrainNotice) - exitMargin
 	dmn.Exchange.FailureDomain = set.FailureDomain
 	srv.HasNeighbour = dmn.Exchange.HasNeighbour
+	srv.OnCrash = dmn.Exchange.ShareCrash
 	srv.OnWork = dmn.Exchange.Work
 	dmn.Prober.Name, dmn.Prober.Control, dmn.Prober.Exchange, dmn.Prober.Engines, dmn.Prober.Logger = set.Name, dmn.Control, dmn.Exchange, srv.Engines, dmn.Logger
 	dmn.Exchange.Address = set.PeerAddress
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -19,6 +19,7 @@
 	exchangeMethod = "gateway.exchange"
 	workMethod     = "gateway.work"
 	topicMethod    = "gateway.topic"
+	crashMethod    = "gateway.crash"
 	// workDelay gathers the generations that are sent at about the same time in one message.
 	workDelay = 3 * time.Millisecond
 	// exchangeInterval is the time between two rounds of messages to some peers.
@@ -130,6 +131,23 @@
 	}
 }
 
+// RegisterCrashes adds the method by which daemons tell of requests that crash endpoints.
+func (exc *Exchange) RegisterCrashes(srv *peer.Server) {
+	srv.Handlers[crashMethod] = func(_ context.Context, params json.RawMessage) (any, error) {
+		var found crash
+		if err := json.Unmarshal(params, &found); err != nil {
+			return nil, trace.BadParameter("crash is not valid: %v", err)
+		}
+		exc.Server.noteCrash(found)
+		return nil, nil
+	}
+}
+
+// ShareCrash tells all peers of a request that crashed an endpoint.
+func (exc *Exchange) ShareCrash(found crash) {
+	exc.notify(context.Background(), exc.addresses(maxAddressees), crashMethod, found)
+}
+
 // ShareTopic tells the peers what this daemon read; it does not block.
 func (exc *Exchange) ShareTopic(part *TopicPart) {
 	select {
--- a/gateway/failure_test.go
+++ b/gateway/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -30,7 +31,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	rqs := &request{
-		http: httptest.NewRequest("GET", "/", nil).WithContext(ctx), route: &catalog.Route{Attempts: 1},
+		http: httptest.NewRequest(http.MethodGet, "/", nil).WithContext(ctx), route: &catalog.Route{Attempts: 1},
 		service: "desk", deadline: now.Add(time.Second), logger: logger, excluded: map[string]bool{},
 	}
 	_, err := Open(ctx, edp.Address, &Outgoing{URL: rqs.http.URL})
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -162,6 +162,7 @@
 	}
 	rqs.sends++
 	if err != nil {
+		srv.checkCrash(ctx, rqs, edp)
 		return nil, outcomeUnknown, err
 	}
 	defer lnk.Close()
@@ -171,7 +172,9 @@
 		return nil, outcomeNotRun, nil
 	}
 	body, err := io.ReadAll(io.LimitReader(lnk.Response.Body, maxPlainBytes))
-	if err == nil {
+	if err != nil {
+		srv.checkCrash(ctx, rqs, edp)
+	} else {
 		err = checkAnswer(rqs, ans)
 	}
 	srv.noteAnswer(edp.ID, ans, err == nil && lnk.Response.StatusCode < 500)
--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -223,6 +223,8 @@
 		sit.startCall(args[1], args[2], http.MethodPost, "/"+args[3]+"/x", args[4:])
 	case "stream": // stream NAME DAEMON ROUTE EVENTS [KEY]
 		sit.startCall(args[1], args[2], http.MethodPost, "/"+args[3]+"/x?events="+args[4], args[5:])
+	case "poison": // poison NAME DAEMON ROUTE: always the same request
+		sit.startCall(args[1], args[2], http.MethodPost, "/"+args[3]+"/poison", nil)
 	case "leave": // leave CALL: the caller closes its connection
 		sit.calls[args[1]].cancel()
 	default:
@@ -378,6 +380,7 @@
 		}
 	}
 	edp.server = httptest.NewServer(edp.SiteEngine)
+	edp.Crash = func() { _ = edp.server.Listener.Close() }
 	for _, other := range sit.engines {
 		other.Peers[edp.server.Listener.Addr().String()] = edp.SiteEngine
 		edp.Peers[other.server.Listener.Addr().String()] = other.SiteEngine
@@ -488,7 +491,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cal := &siteCall{id: "id-" + name, cancel: cancel, done: make(chan struct{})}
 	sit.calls[name] = cal
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+sit.daemons[daemon].caller+target, strings.NewReader("body of "+name))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+sit.daemons[daemon].caller+target, strings.NewReader("body of "+target))
 	if err != nil {
 		sit.fatalf("%v", err)
 	}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -52,9 +52,13 @@
 	Engines Engines
 	Desk    *dispatch.Desk
 	Budget  *dispatch.Budget
-	Metrics *Metrics
-	Logger  logrus.FieldLogger
-	Now     func() time.Time
+	// Suspects are requests that may crash endpoints.
+	Suspects *dispatch.Suspects
+	Metrics  *Metrics
+	Logger   logrus.FieldLogger
+	Now      func() time.Time
+	// OnCrash, if set, learns of a request that crashed an endpoint.
+	OnCrash func(found crash)
 	// DrainNotice is the time from the signal to stop to the end of the process.
 	DrainNotice time.Duration
 	// HasNeighbour, if set, reports whether another daemon of the failure domain takes callers.
@@ -62,7 +66,7 @@
 	// OnWork, if set, learns that a generation was sent to an engine or has ended there; it must not block.
 	OnWork func(endpoint string)
 
-	// mutex guards the desk and the budget.
+	// mutex guards the desk, the budget and the suspects.
 	mutex    sync.Mutex
 	inFlight atomic.Int64
 	sharing  atomic.Pointer[sharing]
@@ -73,7 +77,7 @@
 
 // NewServer returns a server that uses the present time.
 func NewServer() *Server {
-	return &Server{Now: time.Now, Desk: dispatch.NewDesk(), Budget: dispatch.NewBudget(), Metrics: NewMetrics(), streams: newStreams()}
+	return &Server{Now: time.Now, Desk: dispatch.NewDesk(), Budget: dispatch.NewBudget(), Suspects: dispatch.NewSuspects(), Metrics: NewMetrics(), streams: newStreams()}
 }
 
 // InFlight returns the number of requests being served.
@@ -182,7 +186,13 @@
 	srv.mutex.Lock()
 	srv.Budget.Request(now, rqs.service)
 	srv.mutex.Unlock()
-	return srv.readBody(now, wri, rqs, cat.Limits.MaxBodyBytes)
+	if ref := srv.readBody(now, wri, rqs, cat.Limits.MaxBodyBytes); ref != nil {
+		return ref
+	}
+	if srv.condemned(now, rqs) {
+		return notRun(condemnedRetry, "the request crashed several endpoints")
+	}
+	return nil
 }
 
 // awaitEndpoints waits until some endpoint is known, for a short time.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -83,7 +83,10 @@
 			return nil
 		}
 		rqs.logger.WithError(err).WithFields(logrus.Fields{fieldEndpoint: one.endpoint.ID, "events": one.events}).Info("stream broke off")
-		if ctx.Err() == nil && one.resume(ctx) {
+		if !one.isMoving() {
+			srv.checkCrash(ctx, rqs, one.endpoint)
+		}
+		if ctx.Err() == nil && !srv.condemned(srv.Now(), rqs) && one.resume(ctx) {
 			continue
 		}
 		if !one.header {
@@ -174,6 +177,7 @@
 			return outcomeUnreached, err
 		}
 		rqs.sends++
+		srv.checkCrash(ctx, rqs, edp)
 		return outcomeUnknown, err
 	}
 	rqs.sends++
@@ -346,6 +350,13 @@
 	return status == http.StatusOK
 }
 
+// isMoving reports whether the generation is being copied off its engine.
+func (one *run) isMoving() bool {
+	one.mutex.Lock()
+	defer one.mutex.Unlock()
+	return one.moving != nil
+}
+
 // awaitMove returns the copy that the stream's move left, if there is one.
 func (one *run) awaitMove(ctx context.Context) *copyAt {
 	one.mutex.Lock()
--- a/standin/siteengine.go
+++ b/standin/siteengine.go
@@ -27,6 +27,8 @@
 	EngineHangs EngineMode = "hangs"
 	// EngineForeign answers with the id of another request.
 	EngineForeign EngineMode = "foreign"
+	// EngineCrashes ends with the first request that it runs.
+	EngineCrashes EngineMode = "crashes"
 	// EngineUnsigned answers without a signature.
 	EngineUnsigned EngineMode = "unsigned"
 )
@@ -51,6 +53,8 @@
 	Interval time.Duration
 	// CopyTime is how long a copy of a generation's memory takes.
 	CopyTime time.Duration
+	// Crash ends the endpoint.
+	Crash func()
 	// Peers are the other engines by address.
 	Peers map[string]*SiteEngine
 
@@ -247,6 +251,10 @@
 	if mode != EngineUnsigned {
 		hdr.Set("Response-Signature", "signed."+sen.ID)
 	}
+	if mode == EngineCrashes {
+		sen.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	if mode == EngineHangs {
 		<-req.Context().Done()
 		sen.markCut(run)
