Tell crashes again with each exchange

Cause: poison_request failed once (c5 got 200): the first crash was told before the two daemons knew each other, and told only once. Change: messages between daemons carry the crashes that are remembered, up to 32.

--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -30,7 +30,9 @@
 		}
 		sus.crashes[digest] = map[string]time.Time{}
 	}
-	sus.crashes[digest][endpoint] = now
+	if _, known := sus.crashes[digest][endpoint]; !known {
+		sus.crashes[digest][endpoint] = now
+	}
 }
 
 // Condemned reports whether a request has crashed so many endpoints that no other one may run it.
@@ -44,6 +46,17 @@
 	return count >= suspectCrashes
 }
 
+// Each calls a function with each crash that is remembered.
+func (sus *Suspects) Each(now time.Time, visit func(digest uint64, endpoint string)) {
+	for digest, crashes := range sus.crashes {
+		for endpoint, at := range crashes {
+			if now.Sub(at) < suspectMemory {
+				visit(digest, endpoint)
+			}
+		}
+	}
+}
+
 func (sus *Suspects) prune(now time.Time) {
 	for digest, crashes := range sus.crashes {
 		for endpoint, at := range crashes {
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -14,6 +14,8 @@
 const (
 	// crashCheckDelay is how long after a broken answer the endpoint is tried: a crash takes seconds to recover from.
 	crashCheckDelay = 150 * time.Millisecond
+	// toldCrashes bounds the crashes in one message between daemons.
+	toldCrashes = 32
 	// condemnedRetry is when the caller of a request that crashes endpoints may come back.
 	condemnedRetry = 30 * time.Second
 )
@@ -72,3 +74,16 @@
 	defer srv.mutex.Unlock()
 	srv.Suspects.Crashed(srv.Now(), found.Digest, found.Endpoint)
 }
+
+// crashes returns some of the crashes that are remembered, for peers that were not told at once.
+func (srv *Server) crashes(now time.Time) []crash {
+	srv.mutex.Lock()
+	defer srv.mutex.Unlock()
+	var found []crash
+	srv.Suspects.Each(now, func(digest uint64, endpoint string) {
+		if len(found) < toldCrashes {
+			found = append(found, crash{Digest: digest, Endpoint: endpoint})
+		}
+	})
+	return found
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -52,6 +52,8 @@
 	Draining      bool                      `json:"draining,omitempty"`
 	Version       int64                     `json:"version"`
 	Usage         map[string]dispatch.Usage `json:"usage,omitempty"`
+	// Crashes are requests that crashed endpoints.
+	Crashes []crash `json:"crashes,omitempty"`
 	// Leaving has the starts of endpoints that leave, by id.
 	Leaving map[string]int64 `json:"leaving,omitempty"`
 }
@@ -351,7 +353,7 @@
 func (exc *Exchange) compose(snp *Snapshot) *message {
 	return &message{
 		Name: exc.Name, Address: exc.Address, FailureDomain: exc.FailureDomain, Draining: exc.Server.Draining(),
-		Version: version(snp), Usage: exc.usage(), Leaving: exc.leaving(snp),
+		Crashes: exc.Server.crashes(exc.Now()), Version: version(snp), Usage: exc.usage(), Leaving: exc.leaving(snp),
 	}
 }
 
@@ -390,6 +392,9 @@
 
 func (exc *Exchange) receive(ctx context.Context, msg *message) *messageReply {
 	exc.takeUsage(msg)
+	for _, found := range msg.Crashes {
+		exc.Server.noteCrash(found)
+	}
 	snp := exc.Control.Snapshot()
 	per := Peer{Address: msg.Address, FailureDomain: msg.FailureDomain, Draining: msg.Draining}
 	if per != snp.Peers[msg.Name] {
