Try another engine for a stream that may be repeated after a failure or silence

Cause: an engine's own failure, or its silence, ended a stream that another engine could have served; plain calls were tried again, streams only after a refusal. Change: such a stream goes to a second engine after a 5xx, or when no head came in 1.6 of its target. Tests stream_failed and stream_silent.

--- a/gateway/link.go
+++ b/gateway/link.go
@@ -29,6 +29,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// HeadTimeout bounds the wait for the head of the answer; 0 leaves it to the context.
+	HeadTimeout time.Duration
 }
 
 // SendError says how far a request came that got no answer.
@@ -97,6 +99,10 @@
 	} else if err := req.Write(lnk.conn); err != nil {
 		return err
 	}
+	if out.HeadTimeout > 0 {
+		lnk.SetReadDeadline(time.Now().Add(out.HeadTimeout))
+		defer lnk.SetReadDeadline(time.Time{})
+	}
 	res, err := readResponse(bufio.NewReaderSize(lnk.conn, readBufferBytes), req) //nolint:bodyclose // the body ends with the connection
 	lnk.Response = res
 	return err
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -22,6 +22,8 @@
 	waitShare = 0.11
 	// returnShare is that time as a part of the target.
 	returnShare = 0.35
+	// headShare is the part of its target after which a stream that may be repeated is tried at another engine.
+	headShare = 1.6
 	// moveWait is how long a broken stream waits for the result of its move.
 	moveWait = 2 * time.Second
 	// silenceLimit is the pause after which a stream that may be resumed goes on at another engine.
@@ -118,8 +120,11 @@
 	for again := true; again; {
 		again = one.tryStart(ctx, trs)
 	}
-	if one.link != nil {
+	switch {
+	case one.link != nil:
 		return one.checkHead()
+	case trs.answer != nil:
+		return one.server.handOn(one.writer, one.request, trs.answer)
 	}
 	return trs.refusal(ctx, one.request)
 }
@@ -137,14 +142,27 @@
 		status = one.link.Response.StatusCode
 	}
 	one.server.logSend(one.request, &cho, res, status, err)
-	if res == outcomeAnswered {
-		// The engine may be asked again if its answer breaks off.
-		delete(one.excluded, cho.Endpoint.ID)
+	if res == outcomeAnswered && status < http.StatusInternalServerError {
 		return false
 	}
+	if res == outcomeAnswered {
+		trs.answer = one.takeFailure()
+	}
 	return one.server.sendAgain(ctx, one.request, trs, res)
 }
 
+// takeFailure reads an engine's own failure, which is handed on if no other engine does better.
+func (one *run) takeFailure() *plainAnswer {
+	res := one.link.Response
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxPlainBytes))
+	one.leave()
+	one.link = nil
+	if err != nil {
+		return nil
+	}
+	return &plainAnswer{response: res, body: body}
+}
+
 // await chooses an engine, waiting for room for a part of the request's target.
 func (one *run) await(ctx context.Context) dispatch.Choice {
 	rqs := one.request
@@ -167,8 +185,12 @@
 	if fwd.Copy != "" {
 		wrk.Prefill = 0
 	}
+	out := srv.outgoing(rqs, fwd)
+	if rqs.route.Repeatable() && rqs.sends+1 < rqs.route.Attempts {
+		out.HeadTimeout = time.Duration(headShare * float64(rqs.route.Target))
+	}
 	flt := srv.begin(edp.ID, wrk)
-	lnk, err := Open(ctx, edp.Address, srv.outgoing(rqs, fwd))
+	lnk, err := Open(ctx, edp.Address, out)
 	var sendErr *SendError
 	if errors.As(err, &sendErr) {
 		srv.end(flt)
@@ -318,7 +340,7 @@
 			return true
 		}
 	}
-	if !one.route.Repeatable() || one.sends >= one.route.Attempts || !one.server.spend(one.request) {
+	if one.endpoint == nil || !one.route.Repeatable() || one.sends >= one.route.Attempts || !one.server.spend(one.request) {
 		return false
 	}
 	one.excluded[one.endpoint.ID] = true
