Free the copy of a generation whose caller left

Cause: a copy made for a stream whose caller left meanwhile stayed on the second engine until its lifetime ended, and a parameter of the script runner had one value only (linter).

--- a/gateway/move.go
+++ b/gateway/move.go
@@ -221,6 +221,10 @@
 		return false
 	}
 	copied := one.server.Now()
+	if one.http.Context().Err() != nil {
+		one.dropCopy(source, cpd)
+		return false
+	}
 	rest, err := engines.Copy(ctx, source.Address, one.ID, target.Address, true)
 	if err == nil && rest.Handle != "" {
 		cpd = rest
@@ -235,6 +239,15 @@
 	return true
 }
 
+// dropCopy frees the copy of a generation whose caller left.
+func (one *run) dropCopy(source *catalog.Endpoint, cpd Copied) {
+	ctx, cancel := context.WithTimeout(context.Background(), moveTimeout)
+	defer cancel()
+	if err := one.server.Engines.Drop(ctx, source.Address, cpd.Handle); err != nil {
+		one.logger.WithError(err).WithField(fieldEndpoint, source.ID).Info("copy could not be freed")
+	}
+}
+
 // copyRunning copies the memory while the generation runs, again until little is new and the links are free:
 // the last copy, for which the generation stops, waits behind those of others.
 func (one *run) copyRunning(ctx context.Context, source, target *catalog.Endpoint) (cpd Copied, rounds int, err error) {
--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -220,11 +220,11 @@
 func (sit *site) runCaller(args []string) bool {
 	switch args[0] {
 	case "call": // call NAME DAEMON ROUTE [KEY]
-		sit.startCall(args[1], args[2], http.MethodPost, "/"+args[3]+"/x", args[4:])
+		sit.startCall(args[1], args[2], "/"+args[3]+"/x", args[4:])
 	case "stream": // stream NAME DAEMON ROUTE EVENTS [KEY]
-		sit.startCall(args[1], args[2], http.MethodPost, "/"+args[3]+"/x?events="+args[4], args[5:])
+		sit.startCall(args[1], args[2], "/"+args[3]+"/x?events="+args[4], args[5:])
 	case "poison": // poison NAME DAEMON ROUTE: always the same request
-		sit.startCall(args[1], args[2], http.MethodPost, "/"+args[3]+"/poison", nil)
+		sit.startCall(args[1], args[2], "/"+args[3]+"/poison", nil)
 	case "leave": // leave CALL: the caller closes its connection
 		sit.calls[args[1]].cancel()
 	default:
@@ -241,7 +241,7 @@
 	case "until": // until DAEMON ROUTE STATUS [KEY]: calls get the status at last
 		sit.await("status "+args[3], func() bool {
 			name := fmt.Sprintf("until%d", len(sit.calls))
-			sit.startCall(name, args[1], http.MethodPost, "/"+args[2]+"/x", args[4:])
+			sit.startCall(name, args[1], "/"+args[2]+"/x", args[4:])
 			return sit.finished(name).status == sit.number(args[3])
 		})
 	case "ready": // ready DAEMON STATUS
@@ -487,11 +487,11 @@
 	})
 }
 
-func (sit *site) startCall(name, daemon, method, target string, key []string) {
+func (sit *site) startCall(name, daemon, target string, key []string) {
 	ctx, cancel := context.WithCancel(context.Background())
 	cal := &siteCall{id: "id-" + name, cancel: cancel, done: make(chan struct{})}
 	sit.calls[name] = cal
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+sit.daemons[daemon].caller+target, strings.NewReader("body of "+target))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+sit.daemons[daemon].caller+target, strings.NewReader("body of "+target))
 	if err != nil {
 		sit.fatalf("%v", err)
 	}
--- a/standin/siteengine.go
+++ b/standin/siteengine.go
@@ -130,6 +130,10 @@
 
 // ServeHTTP answers requests and control calls.
 func (sen *SiteEngine) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
+	if handle, ok := strings.CutPrefix(req.URL.Path, "/-/kv-handle/"); ok {
+		sen.dropCopy(handle)
+		return
+	}
 	switch req.URL.Path {
 	case "/-/report":
 		sen.serveReport(wri)
@@ -193,6 +197,15 @@
 	_ = json.NewEncoder(wri).Encode(map[string]any{"handle": handle, "createRev": made})
 }
 
+// dropCopy frees a copy at this endpoint and the others.
+func (sen *SiteEngine) dropCopy(handle string) {
+	for _, peer := range sen.Peers {
+		peer.mutex.Lock()
+		delete(peer.copies, handle)
+		peer.mutex.Unlock()
+	}
+}
+
 func (sen *SiteEngine) takesNoCopies() bool {
 	sen.mutex.Lock()
 	defer sen.mutex.Unlock()
