Split the exchange between daemons by message, notice and peer

Cause: one file of 425 lines held the periodic exchange, the notices and the list of peers, with the same decoding four times.

--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -69,7 +69,6 @@
 	peers := peer.NewServer()
 	peers.Logger = dmn.Logger
 	dmn.Exchange.Register(peers)
-	dmn.Exchange.RegisterCrashes(peers)
 	lis, err := net.Listen("tcp", set.PeerAddress)
 	if err != nil {
 		return trace.Wrap(err)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -17,28 +16,14 @@
 
 const (
 	exchangeMethod = "gateway.exchange"
-	workMethod     = "gateway.work"
-	topicMethod    = "gateway.topic"
-	crashMethod    = "gateway.crash"
-	// workDelay gathers the generations that are sent at about the same time in one message.
-	workDelay = 3 * time.Millisecond
 	// exchangeInterval is the time between two rounds of messages to some peers.
 	exchangeInterval = 400 * time.Millisecond
 	// exchangePeers is the number of peers that a round reaches.
 	exchangePeers = 3
 	// newsPeers is the number of peers told at once of a leaving endpoint or a new version.
 	newsPeers = 16
-	// forwardWidth is the number of peers to which a daemon sends a part of a topic itself.
-	forwardWidth = 8
-	// maxAddressees bounds the peers that are told of a part of a topic.
-	maxAddressees = 1024
 	// exchangeTimeout bounds one message.
 	exchangeTimeout = 600 * time.Millisecond
-	// notifyTimeout bounds a message without an answer.
-	notifyTimeout = 100 * time.Millisecond
-	// minPeerPause and maxPeerPause bound the time for which a peer that does not answer is left alone.
-	minPeerPause = 300 * time.Millisecond
-	maxPeerPause = 5 * time.Second
 	// newsAge is how long an endpoint's leaving is told.
 	newsAge = 10 * time.Second
 )
@@ -89,83 +74,39 @@
 	failures map[string]*peerFailure
 }
 
-// peerFailure says how long a peer that did not answer is left alone.
-type peerFailure struct {
-	pause time.Duration
-	until time.Time
-}
-
 // NewExchange returns an exchange that needs its exported fields set before Run.
 func NewExchange() *Exchange {
 	return &Exchange{Client: peer.NewClient(), Now: time.Now, news: make(chan struct{}, 1), work: make(chan struct{}, 1),
 		parts: make(chan *TopicPart, feedBuffer), Feeds: map[string]*Feed{}, failures: map[string]*peerFailure{}, changed: map[string]bool{}}
 }
 
-// Register adds the method to a peer server.
+// Register adds the methods to a peer server.
 func (exc *Exchange) Register(srv *peer.Server) {
-	srv.Handlers[exchangeMethod] = func(ctx context.Context, params json.RawMessage) (any, error) {
-		var msg message
-		if err := json.Unmarshal(params, &msg); err != nil {
-			return nil, trace.BadParameter("message is not valid: %v", err)
-		}
-		return exc.receive(ctx, &msg), nil
-	}
-	srv.Handlers[workMethod] = func(_ context.Context, params json.RawMessage) (any, error) {
-		var msg message
-		if err := json.Unmarshal(params, &msg); err != nil {
-			return nil, trace.BadParameter("message is not valid: %v", err)
-		}
-		exc.takeUsage(&msg)
-		return nil, nil
-	}
-	srv.Handlers[topicMethod] = func(_ context.Context, params json.RawMessage) (any, error) {
-		var part TopicPart
-		if err := json.Unmarshal(params, &part); err != nil {
-			return nil, trace.BadParameter("part of a topic is not valid: %v", err)
-		}
-		if fed, ok := exc.Feeds[part.Topic]; ok {
-			fed.Hear(&part)
-		}
-		if len(part.Forward) > 0 {
-			exc.ShareTopic(&part)
-		}
-		return nil, nil
-	}
-}
-
-// RegisterCrashes adds the method by which daemons tell of requests that crash endpoints.
-func (exc *Exchange) RegisterCrashes(srv *peer.Server) {
-	srv.Handlers[crashMethod] = func(_ context.Context, params json.RawMessage) (any, error) {
-		var found crash
-		if err := json.Unmarshal(params, &found); err != nil {
-			return nil, trace.BadParameter("crash is not valid: %v", err)
+	srv.Handlers[exchangeMethod] = answer(func(ctx context.Context, msg *message) any {
+		return exc.receive(ctx, msg)
+	})
+	srv.Handlers[workMethod] = answer(func(_ context.Context, msg *message) any {
+		exc.takeUsage(msg)
+		return nil
+	})
+	srv.Handlers[crashMethod] = answer(func(_ context.Context, found *crash) any {
+		exc.Server.noteCrash(*found)
+		return nil
+	})
+	srv.Handlers[topicMethod] = answer(func(_ context.Context, part *TopicPart) any {
+		exc.hearTopic(part)
+		return nil
+	})
+}
+
+// answer returns a handler that decodes the parameters of a method.
+func answer[T any](handle func(ctx context.Context, params *T) any) peer.Handler {
+	return func(ctx context.Context, params json.RawMessage) (any, error) {
+		var decoded T
+		if err := json.Unmarshal(params, &decoded); err != nil {
+			return nil, trace.BadParameter("parameters are not valid: %v", err)
 		}
-		exc.Server.noteCrash(found)
-		return nil, nil
-	}
-}
-
-// ShareCrash tells all peers of a request that crashed an endpoint.
-func (exc *Exchange) ShareCrash(found crash) {
-	exc.notify(context.Background(), exc.addresses(maxAddressees), crashMethod, found)
-}
-
-// ShareTopic tells the peers what this daemon read; it does not block.
-func (exc *Exchange) ShareTopic(part *TopicPart) {
-	select {
-	case exc.parts <- part:
-	default:
-	}
-}
-
-// Work asks to tell the users of an engine at once what this daemon has there.
-func (exc *Exchange) Work(endpoint string) {
-	exc.mutex.Lock()
-	exc.changed[endpoint] = true
-	exc.mutex.Unlock()
-	select {
-	case exc.work <- struct{}{}:
-	default:
+		return handle(ctx, &decoded), nil
 	}
 }
 
@@ -194,142 +135,6 @@
 	}
 }
 
-// RunNotices tells the peers of new generations and of what was read from the store, until the context ends.
-func (exc *Exchange) RunNotices(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-exc.work:
-			sleep(ctx, workDelay)
-			exc.tellWork(ctx)
-		case part := <-exc.parts:
-			exc.forward(ctx, part)
-		}
-	}
-}
-
-// tellWork tells the users of each engine whose work changed what this daemon has there.
-func (exc *Exchange) tellWork(ctx context.Context) {
-	exc.mutex.Lock()
-	changed := exc.changed
-	exc.changed = map[string]bool{}
-	exc.mutex.Unlock()
-	shr := exc.Server.sharing.Load()
-	if shr == nil {
-		return
-	}
-	answering := exc.Answering()
-	for id := range changed {
-		exc.Server.mutex.Lock()
-		msg := &message{Name: exc.Name, Usage: map[string]dispatch.Usage{id: exc.Server.Desk.Work(id)}}
-		exc.Server.mutex.Unlock()
-		var addresses []string
-		for _, name := range shr.users[id] {
-			if per, ok := answering[name]; ok {
-				addresses = append(addresses, per.Address)
-			}
-		}
-		exc.notify(ctx, addresses, workMethod, msg)
-	}
-}
-
-// forward sends a part of a topic to all its addressees: to a first one of each group, which forwards it to the others.
-func (exc *Exchange) forward(ctx context.Context, part *TopicPart) {
-	addresses := part.Forward
-	if part.First {
-		addresses = exc.addresses(maxAddressees)
-	}
-	groups := len(addresses)
-	if groups > forwardWidth {
-		groups = forwardWidth
-	}
-	for i := range groups {
-		var rest []string
-		for j := i + groups; j < len(addresses); j += groups {
-			rest = append(rest, addresses[j])
-		}
-		exc.notify(ctx, addresses[i:i+1], topicMethod, &TopicPart{
-			Topic: part.Topic, Reader: part.Reader, From: part.From, Next: part.Next, Records: part.Records, Forward: rest,
-		})
-	}
-}
-
-func (exc *Exchange) notify(ctx context.Context, addresses []string, method string, params any) {
-	for _, address := range addresses {
-		notifyCtx, cancel := context.WithTimeout(ctx, notifyTimeout)
-		err := exc.Client.Notify(notifyCtx, address, method, params)
-		cancel()
-		exc.noteAnswer(address, err)
-	}
-}
-
-// noteAnswer leaves a peer that does not answer alone for a time that grows.
-func (exc *Exchange) noteAnswer(address string, err error) {
-	exc.mutex.Lock()
-	defer exc.mutex.Unlock()
-	if err == nil {
-		delete(exc.failures, address)
-		return
-	}
-	fai, ok := exc.failures[address]
-	if !ok {
-		fai = &peerFailure{pause: minPeerPause}
-		exc.failures[address] = fai
-		exc.Logger.WithError(err).WithField("peer", address).Info("peer does not answer")
-	}
-	fai.until = exc.Now().Add(fai.pause)
-	fai.pause = min(2*fai.pause, maxPeerPause)
-}
-
-// addresses returns some peers in random order.
-func (exc *Exchange) addresses(count int) []string {
-	snp := exc.Control.Snapshot()
-	addresses := make([]string, 0, len(snp.Peers))
-	now := exc.Now()
-	exc.mutex.Lock()
-	for _, per := range snp.Peers {
-		if fai, ok := exc.failures[per.Address]; !ok || now.After(fai.until) {
-			addresses = append(addresses, per.Address)
-		}
-	}
-	exc.mutex.Unlock()
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses[:min(count, len(addresses))]
-}
-
-// Answering returns the peers that answered last, by name.
-func (exc *Exchange) Answering() map[string]Peer {
-	answering := map[string]Peer{}
-	exc.mutex.Lock()
-	defer exc.mutex.Unlock()
-	for name, per := range exc.Control.Snapshot().Peers {
-		if exc.failures[per.Address] == nil {
-			answering[name] = per
-		}
-	}
-	return answering
-}
-
-// Members returns the names of the daemons that answer and of this one.
-func (exc *Exchange) Members() []string {
-	names := []string{exc.Name}
-	for name := range exc.Answering() {
-		names = append(names, name)
-	}
-	return names
-}
-
-// HasNeighbour reports whether another daemon of the failure domain takes callers.
-func (exc *Exchange) HasNeighbour() bool {
-	for _, per := range exc.Answering() {
-		if per.FailureDomain == exc.FailureDomain && !per.Draining {
-			return true
-		}
-	}
-	return false
-}
-
 func (exc *Exchange) usage() map[string]dispatch.Usage {
 	exc.Server.mutex.Lock()
 	defer exc.Server.mutex.Unlock()
--- /dev/null
+++ b/gateway/peers.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// minPeerPause and maxPeerPause bound the time for which a peer that does not answer is left alone.
+	minPeerPause = 300 * time.Millisecond
+	maxPeerPause = 5 * time.Second
+)
+
+// peerFailure says how long a peer that did not answer is left alone.
+type peerFailure struct {
+	pause time.Duration
+	until time.Time
+}
+
+// noteAnswer leaves a peer that does not answer alone for a time that grows.
+func (exc *Exchange) noteAnswer(address string, err error) {
+	exc.mutex.Lock()
+	defer exc.mutex.Unlock()
+	if err == nil {
+		delete(exc.failures, address)
+		return
+	}
+	fai, ok := exc.failures[address]
+	if !ok {
+		fai = &peerFailure{pause: minPeerPause}
+		exc.failures[address] = fai
+		exc.Logger.WithError(err).WithField("peer", address).Info("peer does not answer")
+	}
+	fai.until = exc.Now().Add(fai.pause)
+	fai.pause = min(2*fai.pause, maxPeerPause)
+}
+
+// addresses returns some peers in random order.
+func (exc *Exchange) addresses(count int) []string {
+	snp := exc.Control.Snapshot()
+	addresses := make([]string, 0, len(snp.Peers))
+	now := exc.Now()
+	exc.mutex.Lock()
+	for _, per := range snp.Peers {
+		if fai, ok := exc.failures[per.Address]; !ok || now.After(fai.until) {
+			addresses = append(addresses, per.Address)
+		}
+	}
+	exc.mutex.Unlock()
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(count, len(addresses))]
+}
+
+// Answering returns the peers that answered last, by name.
+func (exc *Exchange) Answering() map[string]Peer {
+	answering := map[string]Peer{}
+	exc.mutex.Lock()
+	defer exc.mutex.Unlock()
+	for name, per := range exc.Control.Snapshot().Peers {
+		if exc.failures[per.Address] == nil {
+			answering[name] = per
+		}
+	}
+	return answering
+}
+
+// Members returns the names of the daemons that answer and of this one.
+func (exc *Exchange) Members() []string {
+	names := []string{exc.Name}
+	for name := range exc.Answering() {
+		names = append(names, name)
+	}
+	return names
+}
+
+// HasNeighbour reports whether another daemon of the failure domain takes callers.
+func (exc *Exchange) HasNeighbour() bool {
+	for _, per := range exc.Answering() {
+		if per.FailureDomain == exc.FailureDomain && !per.Draining {
+			return true
+		}
+	}
+	return false
+}
