--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -70,9 +70,10 @@
 // distantCopyFactor is how much longer a copy takes to an engine in another failure domain.
 const distantCopyFactor = 2
 
-// CopyTime is the time to copy the memory of some tokens over an idle link.
+// CopyTime is the time to copy the memory of some tokens over an idle link; 0 if the engine is nil,
+// as that of a service which a newer version lacks.
 func (eng *Engine) CopyTime(tokens int, distant bool) time.Duration {
-	if eng.LinkBytesPerSecond <= 0 {
+	if eng == nil || eng.LinkBytesPerSecond <= 0 {
 		return 0
 	}
 	seconds := float64(tokens) * eng.TokenBytes / eng.LinkBytesPerSecond
@@ -82,6 +83,14 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
+// EventTokens is the number of tokens that some events of a stream hold.
+func (eng *Engine) EventTokens(events int) int {
+	if eng == nil {
+		return events
+	}
+	return events * eng.TokensPerEvent
+}
+
 // Service is a set of interchangeable endpoints.
 type Service struct {
 	Name           string
--- a/catalog/fleet_test.go
+++ b/catalog/fleet_test.go
@@ -115,3 +115,14 @@
 		}
 	}
 }
+
+// A version that lacks a service must not end the daemon while generations of the service are moved.
+func TestEngineOfMissingService(t *testing.T) {
+	eng := NewCatalog(1, nil, nil, nil).Services["gone"].Engine
+	if got, want := eng.CopyTime(100, true), time.Duration(0); got != want {
+		t.Errorf("got copy time %s, want %s", got, want)
+	}
+	if got, want := eng.EventTokens(3), 3; got != want {
+		t.Errorf("got %d tokens, want %d", got, want)
+	}
+}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -255,7 +255,7 @@
 	one.mutex.Lock()
 	events := one.events
 	one.mutex.Unlock()
-	expected := engine.CopyTime(one.PromptTokens+events*engine.TokensPerEvent, source.FailureDomain != target.FailureDomain)
+	expected := engine.CopyTime(one.PromptTokens+engine.EventTokens(events), source.FailureDomain != target.FailureDomain)
 	first := one.server.Now()
 	for began := first; ; {
 		rounds++
--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -65,8 +65,6 @@
 	CallID string
 	// Encoded is true if the body is not the endpoint's own.
 	Encoded bool
-	// Leaving is true if the endpoint closes its connections after the answer.
-	Leaving bool
 	// Load is nil if the answer does not tell it.
 	Load *Load
 }
