--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -63,7 +64,6 @@
 	t       *testing.T
 	line    string
 	store   *standin.KeyedStore
-	address string
 	engines map[string]*siteEndpoint
 	daemons map[string]*siteDaemon
 	calls   map[string]*siteCall
@@ -82,8 +82,10 @@
 
 type siteDaemon struct {
 	caller, ready string
-	stop          context.CancelFunc
-	done          chan error
+	// denied is true while the store turns this daemon away.
+	denied atomic.Bool
+	stop   context.CancelFunc
+	done   chan error
 }
 
 type siteCall struct {
@@ -122,8 +124,6 @@
 		t: t, store: standin.NewKeyedStore(), engines: map[string]*siteEndpoint{}, daemons: map[string]*siteDaemon{},
 		calls: map[string]*siteCall{}, logs: &safeBuffer{}, born: 1000,
 	}
-	srv := httptest.NewServer(sit.store)
-	sit.address = srv.Listener.Addr().String()
 	t.Cleanup(func() {
 		for _, cal := range sit.calls {
 			cal.cancel()
@@ -134,7 +134,6 @@
 		for _, edp := range sit.engines {
 			edp.server.CloseClientConnections()
 		}
-		srv.CloseClientConnections()
 		if t.Failed() {
 			lines := strings.Split(sit.logs.String(), "\n")
 			t.Log(strings.Join(lines[max(0, len(lines)-loggedLines):], "\n"))
@@ -168,6 +167,8 @@
 		sit.store.Compact(args[1])
 	case "store": // store MODE
 		sit.store.SetMode(standin.StoreMode(strings.ReplaceAll(args[1], "up", "")))
+	case "deny": // deny DAEMON: the store turns this daemon away from now on
+		sit.daemons[args[1]].denied.Store(true)
 	case "daemon": // daemon NAME DOMAIN
 		sit.startDaemon(args[1], args[2])
 	case "stop": // stop DAEMON: a planned stop
@@ -462,12 +463,21 @@
 }
 
 func (sit *site) startDaemon(name, domain string) {
+	one := &siteDaemon{done: make(chan error, 1)}
+	door := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		if one.denied.Load() {
+			wri.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		sit.store.ServeHTTP(wri, req)
+	}))
+	sit.t.Cleanup(door.CloseClientConnections)
 	logger := logrus.New()
 	logger.SetOutput(sit.logs)
 	logger.SetFormatter(logline.NewFormatter(name))
 	set := &settings.Gateway{
 		Name: name, FailureDomain: domain, CallerAddress: sit.freeAddress(), ReadyAddress: sit.freeAddress(),
-		PeerAddress: sit.freeAddress(), StoreAddress: sit.address, DrainNotice: document.Duration(8 * time.Second),
+		PeerAddress: sit.freeAddress(), StoreAddress: door.Listener.Addr().String(), DrainNotice: document.Duration(8 * time.Second),
 		Retries: settings.RetryBudget{Ratio: 0.2, Extra: 50, Window: document.Duration(10 * time.Second)},
 		Log:     settings.Log{Level: "info", Format: "json"},
 	}
@@ -475,7 +485,7 @@
 	dmn.Settings, dmn.Logger = set, logger
 	platform.Attach(dmn)
 	ctx, cancel := context.WithCancel(context.Background())
-	one := &siteDaemon{caller: set.CallerAddress, ready: set.ReadyAddress, stop: cancel, done: make(chan error, 1)}
+	one.caller, one.ready, one.stop = set.CallerAddress, set.ReadyAddress, cancel
 	sit.daemons[name] = one
 	go func() { one.done <- dmn.Run(ctx) }()
 	sit.await("the daemon to listen", func() bool {
