Take in what others read before reading a topic again

Cause: several daemons went on reading a topic although one of them would do. A feed chose at random between its next read and parts that were queued while it read. Ruled out: the order of names, which decides as it should once a part is taken in. Change: queued parts first. TestFeedLeavesReadingToAnother fails without it (9 of 16 feeds read again).

--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -109,12 +109,27 @@
 		case part := <-fed.parts:
 			fed.hear(ctx, part)
 		case <-tmr.C:
-			fed.read(ctx)
+			fed.hearQueued(ctx)
+			if !fed.Now().Before(fed.due) {
+				fed.read(ctx)
+			}
 		}
 		tmr.Stop()
 	}
 }
 
+// hearQueued takes in what came while the topic was read. It may tell that another daemon reads.
+func (fed *Feed) hearQueued(ctx context.Context) {
+	for {
+		select {
+		case part := <-fed.parts:
+			fed.hear(ctx, part)
+		default:
+			return
+		}
+	}
+}
+
 // read reads the topic and tells the other daemons.
 func (fed *Feed) read(ctx context.Context) {
 	from := fed.next
