Fetch a newer configuration from one peer, after the store had time to bring it

Change: messages carry the version only; a daemon that hears of a newer one waits 200 ms for the store's reader and then asks one peer. Test: config_copies, 0.9 MB allowed for 20 daemons, fails before (14.1 MB).

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -41,8 +41,6 @@
 	Now    func() time.Time
 	// OnTick, if set, gets the newest snapshot every tickInterval.
 	OnTick func(snp *Snapshot)
-	// OnVersion, if set, learns that a newer configuration is in force.
-	OnVersion func()
 	// OnLeaving, if set, learns in each round of each endpoint that leaves and whether that is new.
 	OnLeaving func(id string, news bool)
 
@@ -142,9 +140,6 @@
 		return
 	}
 	ctl.catalog = pub.Catalog
-	if ctl.OnVersion != nil {
-		ctl.OnVersion()
-	}
 	ctl.Logger.WithFields(logrus.Fields{
 		"version": pub.Catalog.Version, "source": pub.Source, "routes": len(pub.Catalog.Routes),
 	}).Info("configuration in force")
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -63,6 +63,7 @@
 	grp.Go(func() error { dmn.Exchange.Run(background); return nil })
 	grp.Go(func() error { dmn.Prober.Run(background); return nil })
 	grp.Go(func() error { dmn.Exchange.RunNotices(background); return nil })
+	grp.Go(func() error { dmn.Exchange.RunFetch(background); return nil })
 	for _, tsk := range dmn.Tasks {
 		grp.Go(func() error { tsk(background); return nil })
 	}
@@ -122,7 +123,6 @@
 	srv.OnWork = dmn.Exchange.Work
 	dmn.Prober.Name, dmn.Prober.Control, dmn.Prober.Exchange, dmn.Prober.Engines, dmn.Prober.Logger = set.Name, dmn.Control, dmn.Exchange, srv.Engines, dmn.Logger
 	dmn.Exchange.Address = set.PeerAddress
-	dmn.Control.OnVersion = dmn.Exchange.News
 	dmn.Control.OnLeaving = func(id string, news bool) {
 		if news {
 			dmn.Exchange.News()
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -43,11 +43,10 @@
 	Leaving map[string]int64 `json:"leaving,omitempty"`
 }
 
-// messageReply carries the configuration if the sender's is older.
+// messageReply tells the sender what it may not know.
 type messageReply struct {
-	Version       int64            `json:"version"`
-	Configuration []byte           `json:"configuration,omitempty"`
-	Leaving       map[string]int64 `json:"leaving,omitempty"`
+	Version int64            `json:"version"`
+	Leaving map[string]int64 `json:"leaving,omitempty"`
 }
 
 // Exchange tells other daemons what this one knows and learns from them.
@@ -66,6 +65,7 @@
 	news  chan struct{}
 	work  chan struct{}
 	parts chan *TopicPart
+	newer chan newerVersion
 
 	mutex sync.Mutex
 	// changed are the engines whose work is to be told.
@@ -77,7 +77,7 @@
 // NewExchange returns an exchange that needs its exported fields set before Run.
 func NewExchange() *Exchange {
 	return &Exchange{Client: peer.NewClient(), Now: time.Now, news: make(chan struct{}, 1), work: make(chan struct{}, 1),
-		parts: make(chan *TopicPart, feedBuffer), Feeds: map[string]*Feed{}, failures: map[string]*peerFailure{}, changed: map[string]bool{}}
+		parts: make(chan *TopicPart, feedBuffer), newer: make(chan newerVersion, 1), Feeds: map[string]*Feed{}, failures: map[string]*peerFailure{}, changed: map[string]bool{}}
 }
 
 // Register adds the methods to a peer server.
@@ -85,6 +85,9 @@
 	srv.Handlers[exchangeMethod] = answer(func(ctx context.Context, msg *message) any {
 		return exc.receive(ctx, msg)
 	})
+	srv.Handlers[configurationMethod] = answer(func(_ context.Context, msg *message) any {
+		return exc.answerConfiguration(msg)
+	})
 	srv.Handlers[workMethod] = answer(func(_ context.Context, msg *message) any {
 		exc.takeUsage(msg)
 		return nil
@@ -158,7 +161,7 @@
 func (exc *Exchange) compose(snp *Snapshot) *message {
 	return &message{
 		Name: exc.Name, Address: exc.Address, FailureDomain: exc.FailureDomain, Draining: exc.Server.Draining(),
-		Crashes: exc.Server.crashes(exc.Now()), Version: version(snp), Usage: exc.usage(), Leaving: exc.leaving(snp),
+		Crashes: exc.Server.crashes(exc.Now()), Version: currentVersion(snp), Usage: exc.usage(), Leaving: exc.leaving(snp),
 	}
 }
 
@@ -184,15 +187,7 @@
 	if len(reply.Leaving) > 0 {
 		exc.Control.Send(ctx, Leaving{BornAt: reply.Leaving, Source: address})
 	}
-	if len(reply.Configuration) == 0 {
-		return
-	}
-	cat, err := exc.Parse(reply.Configuration)
-	if err != nil {
-		exc.Logger.WithError(err).WithField("peer", address).Warn("configuration of a peer passed over")
-		return
-	}
-	exc.Control.Send(ctx, Published{Catalog: cat, Source: address})
+	exc.noticeVersion(reply.Version, address)
 }
 
 func (exc *Exchange) receive(ctx context.Context, msg *message) *messageReply {
@@ -208,23 +203,10 @@
 	if len(msg.Leaving) > 0 {
 		exc.Control.Send(ctx, Leaving{BornAt: msg.Leaving, Source: msg.Name})
 	}
-	reply := &messageReply{Version: version(snp), Leaving: exc.leaving(snp)}
+	reply := &messageReply{Version: currentVersion(snp), Leaving: exc.leaving(snp)}
 	for id := range msg.Leaving {
 		delete(reply.Leaving, id)
 	}
-	if reply.Version > msg.Version {
-		reply.Configuration = snp.Catalog.Raw
-	}
-	if msg.Version > reply.Version {
-		// The sender has a newer version: asking it brings the version here.
-		exc.News()
-	}
+	exc.noticeVersion(msg.Version, msg.Address)
 	return reply
 }
-
-func version(snp *Snapshot) int64 {
-	if snp.Catalog == nil {
-		return 0
-	}
-	return snp.Catalog.Version
-}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -65,7 +65,7 @@
 			func() float64 { return read(dmn.Control.Snapshot()) }))
 	}
 	gauge("configuration_version", "Version of the configuration in force, 0 without one.", func(snp *Snapshot) float64 {
-		return float64(version(snp))
+		return float64(currentVersion(snp))
 	})
 	gauge("store_age_seconds", "Time since any daemon's last read of the store that this one knows of.", func(snp *Snapshot) float64 {
 		return time.Since(snp.StoreReadAt).Seconds()
--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -69,6 +69,9 @@
 	calls   map[string]*siteCall
 	logs    *safeBuffer
 	born    int64
+	// published is the newest configuration, exchanged the bytes between daemons when it was published.
+	published []byte
+	exchanged int64
 }
 
 type siteEndpoint struct {
@@ -81,6 +84,7 @@
 }
 
 type siteDaemon struct {
+	*gateway.Daemon
 	caller, ready string
 	// denied is true while the store turns this daemon away.
 	denied atomic.Bool
@@ -159,8 +163,9 @@
 // runSite runs commands for the store, the operator and daemons; it reports whether it knows the command.
 func (sit *site) runSite(args []string) bool {
 	switch args[0] {
-	case "publish": // publish VERSION [without ROUTE|KEY]... [move ROUTE SERVICE]
-		sit.store.Put("keyed.op", "config", configuration(args[1], args[2:]))
+	case "publish": // publish VERSION [without ROUTE|KEY]... [move ROUTE SERVICE] [routes COUNT]
+		sit.published, sit.exchanged = configuration(args[1], args[2:]), sit.traffic()
+		sit.store.Put("keyed.op", "config", sit.published)
 	case "garbage": // garbage TOPIC KEY: a record that can't be read
 		sit.store.Put(args[1], args[2], []byte(`{"service":7`))
 	case "compact": // compact TOPIC: the records of the topic go, the newest of each key stay
@@ -171,6 +176,10 @@
 		sit.daemons[args[1]].denied.Store(true)
 	case "daemon": // daemon NAME DOMAIN
 		sit.startDaemon(args[1], args[2])
+	case "daemons": // daemons COUNT DOMAIN: d1 and so on
+		for number := range sit.number(args[1]) {
+			sit.startDaemon(fmt.Sprintf("d%d", number+1), args[2])
+		}
 	case "stop": // stop DAEMON: a planned stop
 		sit.daemons[args[1]].stop()
 	case "stopped": // stopped DAEMON: it has ended
@@ -254,6 +263,17 @@
 			_ = res.Body.Close()
 			return res.StatusCode == sit.number(args[2])
 		})
+	case "inForce": // inForce VERSION: at all daemons
+		for _, dmn := range sit.daemons {
+			sit.await("the version", func() bool {
+				cat := dmn.Control.Snapshot().Catalog
+				return cat != nil && cat.Version == int64(sit.number(args[1]))
+			})
+		}
+	case "acquainted": // acquainted: all daemons know each other
+		for _, dmn := range sit.daemons {
+			sit.await("the other daemons", func() bool { return len(dmn.Control.Snapshot().Peers) == len(sit.daemons)-1 })
+		}
 	case "logged": // logged TEXT...
 		text := strings.Join(args[1:], " ")
 		sit.await("a log line", func() bool { return strings.Contains(sit.logs.String(), text) })
@@ -317,6 +337,18 @@
 			runs := sit.runs(args[1], nil)
 			return len(runs) == 1 && runs[0].Cut
 		})
+	case "storeCalls": // storeCalls MOST DURATION: the daemons call the store so often in that time
+		before := sit.store.Calls()
+		time.Sleep(sit.duration(args[2]))
+		if got, want := sit.store.Calls()-before, sit.number(args[1]); got > want {
+			sit.fatalf("got %d calls, want %d at most", got, want)
+		}
+	case "copies": // copies COUNT: daemons told each other no more since publish than so many configurations for each
+		// JSON carries bytes as base64, which is a third longer.
+		most := int64(sit.number(args[1])*len(sit.daemons)*len(sit.published)) * 4 / 3
+		if got := sit.traffic() - sit.exchanged; got > most {
+			sit.fatalf("got %d bytes between daemons, want %d at most", got, most)
+		}
 	case "organisation": // organisation CALL NAME: what the endpoint was told, and no key
 		for _, run := range sit.runs(args[1], nil) {
 			if run.Organisation != args[2] || run.Authorized {
@@ -407,8 +439,12 @@
 func configuration(version string, changes []string) []byte {
 	without := map[string]bool{}
 	moved := map[string]string{}
+	more := 0
 	for i := 0; i < len(changes); i++ {
 		switch changes[i] {
+		case "routes":
+			i++
+			more, _ = strconv.Atoi(changes[i])
 		case "without":
 			i++
 			without[changes[i]] = true
@@ -435,6 +471,12 @@
 		rou["host"], rou["pathPrefix"] = "site.example", "/"+name+"/"
 		routes = append(routes, rou)
 	}
+	for number := range more {
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprintf("more%d", number), "host": "site.example", "pathPrefix": fmt.Sprintf("/more%d/", number),
+			"kind": "idempotent", "service": "desk", "maxAttempts": 2, "timeoutMs": 2000, "targetLatencyMs": 500,
+		})
+	}
 	var tenants []map[string]any
 	for _, name := range []string{"one", "two"} {
 		if !without[name] {
@@ -453,6 +495,15 @@
 	return data
 }
 
+// traffic is the number of bytes that daemons sent each other, counted where the connections are opened.
+func (sit *site) traffic() int64 {
+	var sum int64
+	for _, dmn := range sit.daemons {
+		sum += dmn.Exchange.Client.Traffic.Sent.Load() + dmn.Exchange.Client.Traffic.Received.Load()
+	}
+	return sum
+}
+
 func (sit *site) freeAddress() string {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -485,6 +536,7 @@
 	dmn.Settings, dmn.Logger = set, logger
 	platform.Attach(dmn)
 	ctx, cancel := context.WithCancel(context.Background())
+	one.Daemon = dmn
 	one.caller, one.ready, one.stop = set.CallerAddress, set.ReadyAddress, cancel
 	sit.daemons[name] = one
 	go func() { one.done <- dmn.Run(ctx) }()
