Tell of leaving endpoints once, by the topic that says so

Cause: for each engine that leaves, every daemon sent its whole message, with all its work and all marks of 10 s, to 16 others, though each of them had heard of it by the shared topic: 12 engines every 3.3 s and 65 daemons make 12,000 messages. Ruled out: the topic's own parts (about 300 bytes for each daemon). Change: only an engine's own word, while the store is away, is told to all peers, in a message of its own; regular messages repeat marks as before. A daemon that is cut off from the store and missed a part takes in later ones too, since nobody else tells it at once any more. Test: leaving_told; five engines cost each of 20 daemons 22 KB before, 7 KB allowed.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -41,8 +41,8 @@
 	Now    func() time.Time
 	// OnTick, if set, gets the newest snapshot every tickInterval.
 	OnTick func(snp *Snapshot)
-	// OnLeaving, if set, learns in each round of each endpoint that leaves and whether that is new.
-	OnLeaving func(id string, news bool)
+	// OnLeaving, if set, learns in each round of each endpoint that leaves.
+	OnLeaving func(id string)
 
 	catalog     *catalog.Catalog
 	fleet       *catalog.Fleet
@@ -113,7 +113,7 @@
 			ctl.Logger.WithFields(logrus.Fields{fieldEndpoint: id, "source": source, "listed": snp.has(id)}).Info("endpoint leaves")
 		}
 		if ctl.OnLeaving != nil {
-			ctl.OnLeaving(id, !known)
+			ctl.OnLeaving(id)
 		}
 	}
 	for id, edp := range snp.Fleet.Endpoints {
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -123,12 +123,7 @@
 	srv.OnWork = dmn.Exchange.Work
 	dmn.Prober.Name, dmn.Prober.Control, dmn.Prober.Exchange, dmn.Prober.Engines, dmn.Prober.Logger = set.Name, dmn.Control, dmn.Exchange, srv.Engines, dmn.Logger
 	dmn.Exchange.Address = set.PeerAddress
-	dmn.Control.OnLeaving = func(id string, news bool) {
-		if news {
-			dmn.Exchange.News()
-		}
-		srv.EndpointLeaves(id)
-	}
+	dmn.Control.OnLeaving = srv.EndpointLeaves
 	dmn.Control.OnTick = func(snp *Snapshot) {
 		srv.sharing.Store(newSharing(srv.sharing.Load(), snp, set.Name, dmn.Exchange.Members()))
 		srv.mutex.Lock()
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -20,7 +20,7 @@
 	exchangeInterval = 400 * time.Millisecond
 	// exchangePeers is the number of peers that a round reaches.
 	exchangePeers = 3
-	// newsPeers is the number of peers told at once of a leaving endpoint or a new version.
+	// newsPeers is the number of peers told at once that this daemon drains.
 	newsPeers = 16
 	// exchangeTimeout bounds one message.
 	exchangeTimeout = 600 * time.Millisecond
@@ -92,6 +92,10 @@
 		exc.takeUsage(msg)
 		return nil
 	})
+	srv.Handlers[leavingMethod] = answer(func(ctx context.Context, msg *message) any {
+		exc.Control.Send(ctx, Leaving{BornAt: msg.Leaving, Source: msg.Name})
+		return nil
+	})
 	srv.Handlers[crashMethod] = answer(func(_ context.Context, found *crash) any {
 		exc.Server.noteCrash(*found)
 		return nil
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -184,7 +184,11 @@
 		return
 	}
 	if part.From > fed.next {
-		fed.due = now.Add(gapPause)
+		// The records are the newest of their keys, also if the store can't be asked for those that were missed.
+		fed.Apply(ctx, part.Records, false)
+		if fed.pause == minFeedPause {
+			fed.due = now.Add(gapPause)
+		}
 		return
 	}
 	if part.Next > fed.next {
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -11,6 +11,8 @@
 	workMethod  = "gateway.work"
 	topicMethod = "gateway.topic"
 	crashMethod = "gateway.crash"
+	// leavingMethod tells of an endpoint that leaves by its own word; what the store says reaches all by its topic.
+	leavingMethod = "gateway.leaving"
 	// workDelay gathers the generations that are sent at about the same time in one message.
 	workDelay = 3 * time.Millisecond
 	// forwardWidth is the number of peers to which a daemon sends a part of a topic itself.
@@ -26,6 +28,11 @@
 	exc.notify(context.Background(), exc.addresses(maxAddressees), crashMethod, found)
 }
 
+// ShareLeaving tells all peers of endpoints that leave, with the start of each by id.
+func (exc *Exchange) ShareLeaving(bornAt map[string]int64) {
+	exc.notify(context.Background(), exc.addresses(maxAddressees), leavingMethod, &message{Name: exc.Name, Leaving: bornAt})
+}
+
 // ShareTopic tells the peers what this daemon read; it does not block.
 func (exc *Exchange) ShareTopic(part *TopicPart) {
 	select {
--- a/gateway/prober.go
+++ b/gateway/prober.go
@@ -61,7 +61,9 @@
 		return
 	}
 	prb.Logger.WithFields(logrus.Fields{fieldEndpoint: edp.ID, "leavesIn": rpt.LeavesIn.String()}).Info("engine reports that it leaves")
-	prb.Control.Send(ctx, Leaving{BornAt: map[string]int64{edp.ID: edp.BornAt}, Source: "engine"})
+	bornAt := map[string]int64{edp.ID: edp.BornAt}
+	prb.Control.Send(ctx, Leaving{BornAt: bornAt, Source: "engine"})
+	prb.Exchange.ShareLeaving(bornAt)
 }
 
 // probed returns the engines that one of the members asks; members that know the same make the same division.
--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -72,6 +72,8 @@
 	// published is the newest configuration, exchanged the bytes between daemons when it was published.
 	published []byte
 	exchanged int64
+	// idle is what each daemon exchanged in the window measured last.
+	idle int64
 }
 
 type siteEndpoint struct {
@@ -166,6 +168,11 @@
 	case "publish": // publish VERSION [without ROUTE|KEY]... [move ROUTE SERVICE] [routes COUNT]
 		sit.published, sit.exchanged = configuration(args[1], args[2:]), sit.traffic()
 		sit.store.Put("keyed.op", "config", sit.published)
+	case "idle": // idle DURATION: measures what daemons exchange without cause; what follows is compared with it
+		before := sit.traffic()
+		time.Sleep(sit.duration(args[1]))
+		sit.exchanged = sit.traffic()
+		sit.idle = (sit.exchanged - before) / int64(len(sit.daemons))
 	case "garbage": // garbage TOPIC KEY: a record that can't be read
 		sit.store.Put(args[1], args[2], []byte(`{"service":7`))
 	case "compact": // compact TOPIC: the records of the topic go, the newest of each key stay
@@ -349,6 +356,11 @@
 		if got := sit.traffic() - sit.exchanged; got > most {
 			sit.fatalf("got %d bytes between daemons, want %d at most", got, most)
 		}
+	case "exchanged": // exchanged KILOBYTES: each daemon exchanged no more than that beyond the idle window
+		got, most := (sit.traffic()-sit.exchanged)/int64(len(sit.daemons)), sit.idle+int64(sit.number(args[1]))<<10
+		if got > most {
+			sit.fatalf("got %d bytes a daemon, want %d at most", got, most)
+		}
 	case "organisation": // organisation CALL NAME: what the endpoint was told, and no key
 		for _, run := range sit.runs(args[1], nil) {
 			if run.Organisation != args[2] || run.Authorized {
