Choose test ports in one place, locked against other processes

Cause: config_trimmed failed once ('the daemon to listen did not come'): the gateway's scripts took ports of the range for outgoing connections, which other daemons and connections of the same run may take before the daemon listens; with scripts of 20 daemons that became likely. The scripts of the entry daemons had met the same and lock ports below that range. Ruled out: a fault of the daemon (no log line of it). Not reproduced on purpose.

--- a/capacity/cluster.go
+++ b/capacity/cluster.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,6 +17,7 @@
 	"papayacroft/configuration"
 	"papayacroft/inventory"
 	"papayacroft/provider"
+	"papayacroft/standin"
 )
 
 const (
@@ -53,7 +53,7 @@
 }
 
 func (clu *cluster) start(organisations int, tokenInterval time.Duration) error {
-	adr, err := freeAddresses(5 + engineProcesses)
+	adr, err := standin.FreeAddresses(5 + engineProcesses)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -218,16 +218,3 @@
 		}
 	}
 }
-
-func freeAddresses(count int) ([]string, error) {
-	var addresses []string
-	for range count {
-		lis, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, trace.Wrap(err)
-		}
-		defer lis.Close()
-		addresses = append(addresses, lis.Addr().String())
-	}
-	return addresses, nil
-}
--- /dev/null
+++ b/standin/port.go
@@ -0,0 +1,65 @@
+package standin
+
+import (
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+
+	"github.com/gravitational/trace"
+)
+
+const (
+	// Ports from 32768 on are given to outgoing connections, which took a chosen port before its daemon started.
+	firstPort = 12000
+	lastPort  = 31999
+)
+
+// portLocks holds the locks of chosen ports until the process ends.
+var portLocks sync.Map
+
+// FreeAddresses chooses random ports on which nothing listens and that no other process chooses.
+func FreeAddresses(count int) ([]string, error) {
+	var addresses []string
+	for len(addresses) < count {
+		port := strconv.Itoa(firstPort + rand.IntN(lastPort-firstPort+1))
+		locked, err := lockPort(port)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		if !locked {
+			continue
+		}
+		lis, err := net.Listen("tcp", "127.0.0.1:"+port)
+		if err != nil {
+			continue
+		}
+		if err := lis.Close(); err != nil {
+			return nil, trace.Wrap(err)
+		}
+		addresses = append(addresses, lis.Addr().String())
+	}
+	return addresses, nil
+}
+
+// lockPort keeps programs that run at the same time from choosing the same port: one that only probes a port makes
+// the program that starts there fail.
+func lockPort(port string) (bool, error) {
+	dir := filepath.Join(os.TempDir(), "papayacroft-test-ports")
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return false, trace.ConvertSystemError(err)
+	}
+	file, err := os.OpenFile(filepath.Join(dir, port), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return false, trace.ConvertSystemError(err)
+	}
+	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = file.Close()
+		return false, nil
+	}
+	portLocks.Store(port, file)
+	return true, nil
+}
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -2,16 +2,13 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
-	"sync"
-	"syscall"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"papayacroft/standin"
 )
 
 // cmdCluster chooses free ports and writes settings: cluster DAEMONS ENGINES SERVICES.
@@ -74,45 +71,9 @@
 	ts.Check(writeFile(ts.MkAbs("vms.json"), "["+strings.Join(vms, ",")+"]"))
 }
 
-const (
-	// Ports from 32768 on are given to outgoing connections, which took a chosen port before its daemon started.
-	firstPort = 12000
-	lastPort  = 31999
-)
-
-// portLocks holds the locks of chosen ports until the test process ends.
-var portLocks sync.Map
-
-// lockPort keeps scripts that run at the same time, in this or another test process, from choosing the same port:
-// one that only probes a port makes the program that starts there fail.
-func lockPort(ts *testscript.TestScript, port string) bool {
-	dir := filepath.Join(os.TempDir(), "papayacroft-test-ports")
-	ts.Check(os.MkdirAll(dir, 0o700))
-	file, err := os.OpenFile(filepath.Join(dir, port), os.O_CREATE|os.O_RDWR, 0o600)
-	ts.Check(err)
-	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		_ = file.Close()
-		return false
-	}
-	portLocks.Store(port, file)
-	return true
-}
-
-// freeAddresses chooses random ports on which nothing listens.
 func freeAddresses(ts *testscript.TestScript, count int) []string {
-	var addresses []string
-	for len(addresses) < count {
-		port := strconv.Itoa(firstPort + rand.IntN(lastPort-firstPort+1))
-		if !lockPort(ts, port) {
-			continue
-		}
-		lis, err := net.Listen("tcp", "127.0.0.1:"+port)
-		if err != nil {
-			continue
-		}
-		ts.Check(lis.Close())
-		addresses = append(addresses, lis.Addr().String())
-	}
+	addresses, err := standin.FreeAddresses(count)
+	ts.Check(err)
 	return addresses
 }
 
