Add a fault soak with daemons as separate processes

Cause: scripts run daemons in one process and meet only the faults that somebody thought of together.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -2,7 +2,7 @@
 LDFLAGS := -X main.version=$(VERSION)
 PROGRAMS := papayacroft papayacroftd papayacroft-standin
 
-.PHONY: all build test scenario claims limits shared-state fleet measure-fleet model bench measure capacity lint fmt demo clean
+.PHONY: all build test scenario claims limits shared-state fleet measure-fleet model bench measure capacity soak lint fmt demo clean
 
 all: build
 
@@ -55,6 +55,13 @@
 fmt:
 	golangci-lint fmt
 
+# soak runs daemons as processes under random faults; each seed has a plan of its own (SEED, SEEDS, DURATION).
+SEED ?= 1
+SEEDS ?= 1
+DURATION ?= 40s
+soak: build
+	go run ./soak --program bin/papayacroftd --seed $(SEED) --seeds $(SEEDS) --duration $(DURATION)
+
 capacity: build
 	go build -o bin/capacity ./capacity
 	bin/capacity --programs bin
--- /dev/null
+++ b/soak/daemon.go
@@ -0,0 +1,197 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"papayacroft/standin"
+)
+
+const (
+	// drainNotice is the time between the signal to stop and the end of a daemon (graceS on the users' sites).
+	drainNotice = 8 * time.Second
+	settingsFor = `name: %s
+failureDomain: %s
+callerAddress: %s
+readyAddress: %s
+peerAddress: %s
+metricsAddress: %s
+storeAddress: %s
+drainNotice: %s
+retries: {ratio: 0.2, extra: 50, window: 10s}
+log: {level: info, format: json}
+`
+)
+
+// daemon is one gateway process; it is started again whenever it ends.
+type daemon struct {
+	name, program, settings, log string
+	caller, metrics              string
+	store                        *proxy
+	// replacing is held while the process is ended and started again.
+	replacing sync.Mutex
+
+	mutex sync.Mutex
+	cmd   *exec.Cmd
+	ended chan struct{}
+	// expected is true if the soak itself ends the process.
+	expected bool
+	// starts are the times of the starts, disturbed the faults that hit this daemon.
+	starts    []time.Time
+	disturbed []span
+	findings  []string
+}
+
+// span is a time during which a fault lasted.
+type span struct {
+	from, to time.Time
+}
+
+func newDaemon(dir, program, name, domain, store string) (*daemon, error) {
+	prx, err := newProxy(store)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	addresses, err := standin.FreeAddresses(4)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	dmn := &daemon{
+		name: name, program: program, settings: filepath.Join(dir, name+".yaml"), log: filepath.Join(dir, name+".log"),
+		caller: addresses[0], metrics: addresses[3], store: prx,
+	}
+	text := fmt.Sprintf(settingsFor, name, domain, addresses[0], addresses[1], addresses[2], addresses[3], prx.address(), drainNotice)
+	if err := os.WriteFile(dmn.settings, []byte(text), 0o600); err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	return dmn, dmn.start()
+}
+
+// start starts the process; one that ends by itself is a finding.
+func (dmn *daemon) start() error {
+	out, err := os.OpenFile(dmn.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	defer out.Close()
+	cmd := exec.Command(dmn.program, "gateway", "--settings", dmn.settings) //nolint:gosec // the program is the soak's own argument
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	ended := make(chan struct{})
+	dmn.mutex.Lock()
+	dmn.cmd, dmn.ended, dmn.expected = cmd, ended, false
+	dmn.starts = append(dmn.starts, time.Now())
+	dmn.mutex.Unlock()
+	go func() {
+		err := cmd.Wait()
+		dmn.mutex.Lock()
+		if !dmn.expected {
+			dmn.findings = append(dmn.findings, fmt.Sprintf("%s ended by itself: %v; %s", dmn.name, err, dmn.lastLines()))
+		}
+		dmn.mutex.Unlock()
+		close(ended)
+	}()
+	return nil
+}
+
+// lastLines returns the end of the log.
+func (dmn *daemon) lastLines() string {
+	data, err := os.ReadFile(dmn.log)
+	if err != nil {
+		return err.Error()
+	}
+	lines := bytes.Split(bytes.TrimSpace(data), []byte("\n"))
+	return string(bytes.Join(lines[max(0, len(lines)-5):], []byte(" | ")))
+}
+
+// signal sends a signal to the process by its id.
+func (dmn *daemon) signal(sig syscall.Signal) {
+	dmn.mutex.Lock()
+	defer dmn.mutex.Unlock()
+	if sig == syscall.SIGKILL || sig == syscall.SIGTERM {
+		dmn.expected = true
+	}
+	// A process that has just ended can't be signalled, which the next start corrects.
+	_ = dmn.cmd.Process.Signal(sig)
+}
+
+// stop ends the process, after its notice at the latest, and waits for its end.
+func (dmn *daemon) stop(sig syscall.Signal) {
+	dmn.mutex.Lock()
+	ended := dmn.ended
+	dmn.mutex.Unlock()
+	dmn.signal(sig)
+	select {
+	case <-ended:
+	case <-time.After(drainNotice):
+		dmn.signal(syscall.SIGCONT)
+		dmn.signal(syscall.SIGKILL)
+		<-ended
+	}
+}
+
+func (dmn *daemon) find(format string, args ...any) {
+	dmn.mutex.Lock()
+	defer dmn.mutex.Unlock()
+	dmn.findings = append(dmn.findings, fmt.Sprintf(format, args...))
+}
+
+func (dmn *daemon) disturb(from, to time.Time) {
+	dmn.mutex.Lock()
+	defer dmn.mutex.Unlock()
+	dmn.disturbed = append(dmn.disturbed, span{from, to})
+}
+
+// isDisturbed reports whether a fault hit the daemon between two times.
+func (dmn *daemon) isDisturbed(from, to time.Time) bool {
+	dmn.mutex.Lock()
+	defer dmn.mutex.Unlock()
+	for _, one := range dmn.disturbed {
+		if one.from.Before(to) && from.Before(one.to) {
+			return true
+		}
+	}
+	return false
+}
+
+// incarnation returns the number of starts before a time.
+func (dmn *daemon) incarnation(at time.Time) int {
+	dmn.mutex.Lock()
+	defer dmn.mutex.Unlock()
+	count := 0
+	for _, start := range dmn.starts {
+		if start.Before(at) {
+			count++
+		}
+	}
+	return count
+}
+
+// memory returns the resident memory in bytes and the number of open descriptors.
+func (dmn *daemon) memory() (resident int64, descriptors int) {
+	dmn.mutex.Lock()
+	dir := fmt.Sprintf("/proc/%d", dmn.cmd.Process.Pid)
+	dmn.mutex.Unlock()
+	if data, err := os.ReadFile(dir + "/statm"); err == nil {
+		var size, pages int64
+		if _, err := fmt.Sscan(strings.TrimSpace(string(data)), &size, &pages); err == nil {
+			resident = pages * int64(os.Getpagesize())
+		}
+	}
+	entries, err := os.ReadDir(dir + "/fd")
+	if err == nil {
+		descriptors = len(entries)
+	}
+	return resident, descriptors
+}
