Show budgets, ages of reports and waiting streams among the metrics

Change: repeats_left, oldest_report_seconds, oldest_peer_usage_seconds and streams_waiting; the scripts' commands on all daemons move to a file of their own. Test: metrics (failed first: the gauges did not exist).

--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -47,16 +47,30 @@
 // Spend takes one repeat and reports whether there was one left.
 func (bud *Budget) Spend(now time.Time, service string) bool {
 	step := bud.step(now, service)
+	if bud.left(service) < 1 {
+		return false
+	}
+	step.repeats++
+	return true
+}
+
+// Left returns the repeats left of each service that had requests.
+func (bud *Budget) Left(now time.Time) map[string]float64 {
+	left := map[string]float64{}
+	for service := range bud.services {
+		bud.step(now, service)
+		left[service] = bud.left(service)
+	}
+	return left
+}
+
+func (bud *Budget) left(service string) float64 {
 	var requests, repeats float64
 	for _, one := range bud.services[service].steps {
 		requests += one.requests
 		repeats += one.repeats
 	}
-	if repeats+1 > bud.Ratio*requests+bud.Extra/float64(max(1, bud.Daemons)) {
-		return false
-	}
-	step.repeats++
-	return true
+	return bud.Ratio*requests + bud.Extra/float64(max(1, bud.Daemons)) - repeats
 }
 
 // step returns the count of the present step and drops those that left the window.
--- a/dispatch/desk.go
+++ b/dispatch/desk.go
@@ -331,6 +331,21 @@
 	return own
 }
 
+// Ages returns the age of the oldest report of an endpoint and of the oldest word of a peer that count in decisions.
+func (dsk *Desk) Ages(now time.Time) (report, peer time.Duration) {
+	for _, sta := range dsk.endpoints {
+		if age := now.Sub(sta.report.At); age < reportLifetime {
+			report = max(report, age)
+		}
+		for _, per := range sta.peers {
+			if age := now.Sub(per.at); age < usageLifetime {
+				peer = max(peer, age)
+			}
+		}
+	}
+	return report, peer
+}
+
 // Forget drops what is known of endpoints that are not listed and have no work.
 func (dsk *Desk) Forget(now time.Time, flt catalog.FleetView) {
 	for id, sta := range dsk.endpoints {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -74,6 +74,16 @@
 	gauge("endpoints_leaving", "Endpoints known to leave.", func(snp *Snapshot) float64 { return float64(len(snp.Fleet.Leaving)) })
 	gauge("peers_answering", "Other daemons that answer.", func(*Snapshot) float64 { return float64(len(dmn.Exchange.Answering())) })
 	gauge("requests_in_flight", "Requests being served.", func(*Snapshot) float64 { return float64(dmn.Server.InFlight()) })
+	gauge("streams_waiting", "Streams that wait for room at an engine.", func(*Snapshot) float64 { return float64(dmn.Server.waiting.Load()) })
+	gauge("oldest_report_seconds", "Age of the oldest report of an endpoint's load that counts in decisions.", func(*Snapshot) float64 {
+		report, _ := dmn.Server.ages()
+		return report.Seconds()
+	})
+	gauge("oldest_peer_usage_seconds", "Age of the oldest word of a peer's load that counts in decisions.", func(*Snapshot) float64 {
+		_, usage := dmn.Server.ages()
+		return usage.Seconds()
+	})
+	gauge("repeats_left", "Repeats left in the window, of the service with the fewest.", func(*Snapshot) float64 { return dmn.Server.repeatsLeft() })
 	gauge("draining", "1 from the signal to stop on.", func(*Snapshot) float64 {
 		if dmn.Server.Draining() {
 			return 1
@@ -82,6 +92,24 @@
 	})
 }
 
+// ages returns the ages of the oldest report and the oldest word of a peer.
+func (srv *Server) ages() (report, usage time.Duration) {
+	srv.mutex.Lock()
+	defer srv.mutex.Unlock()
+	return srv.Desk.Ages(srv.Now())
+}
+
+// repeatsLeft returns the fewest repeats that a service has left, the whole allowance before the first request.
+func (srv *Server) repeatsLeft() float64 {
+	srv.mutex.Lock()
+	defer srv.mutex.Unlock()
+	fewest := srv.Budget.Extra / float64(max(1, srv.Budget.Daemons))
+	for _, left := range srv.Budget.Left(srv.Now()) {
+		fewest = min(fewest, left)
+	}
+	return fewest
+}
+
 // Handler serves the metrics.
 func (met *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(met.registry, promhttp.HandlerOpts{})
--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -88,7 +88,7 @@
 
 type siteDaemon struct {
 	*gateway.Daemon
-	caller, ready string
+	caller, ready, metrics string
 	// denied is true while the store turns this daemon away.
 	denied atomic.Bool
 	stop   context.CancelFunc
@@ -155,7 +155,7 @@
 }
 
 func (sit *site) run(args []string) {
-	for _, one := range []func([]string) bool{sit.runSite, sit.runEndpoint, sit.runCaller, sit.runWait, sit.checkAnswer, sit.checkRuns} {
+	for _, one := range []func([]string) bool{sit.runSite, sit.runEndpoint, sit.runCaller, sit.runWait, sit.runFleet, sit.checkTraffic, sit.checkAnswer, sit.checkRuns} {
 		if one(args) {
 			return
 		}
@@ -169,11 +169,6 @@
 	case "publish": // publish VERSION [without ROUTE|KEY]... [move ROUTE SERVICE] [routes COUNT]
 		sit.published, sit.exchanged = configuration(args[1], args[2:]), sit.traffic()
 		sit.store.Put("keyed.op", "config", sit.published)
-	case "idle": // idle DURATION: measures what daemons exchange without cause; what follows is compared with it
-		before := sit.traffic()
-		time.Sleep(sit.duration(args[1]))
-		sit.exchanged = sit.traffic()
-		sit.idle = (sit.exchanged - before) / int64(len(sit.daemons))
 	case "garbage": // garbage TOPIC KEY: a record that can't be read
 		sit.store.Put(args[1], args[2], []byte(`{"service":7`))
 	case "compact": // compact TOPIC: the records of the topic go, the newest of each key stay
@@ -271,17 +266,6 @@
 			_ = res.Body.Close()
 			return res.StatusCode == sit.number(args[2])
 		})
-	case "inForce": // inForce VERSION: at all daemons
-		for _, dmn := range sit.daemons {
-			sit.await("the version", func() bool {
-				cat := dmn.Control.Snapshot().Catalog
-				return cat != nil && cat.Version == int64(sit.number(args[1]))
-			})
-		}
-	case "acquainted": // acquainted: all daemons know each other
-		for _, dmn := range sit.daemons {
-			sit.await("the other daemons", func() bool { return len(dmn.Control.Snapshot().Peers) == len(sit.daemons)-1 })
-		}
 	case "logged": // logged TEXT...
 		text := strings.Join(args[1:], " ")
 		sit.await("a log line", func() bool { return strings.Contains(sit.logs.String(), text) })
@@ -345,25 +329,6 @@
 			runs := sit.runs(args[1], nil)
 			return len(runs) == 1 && runs[0].Cut
 		})
-	case "storeCalls": // storeCalls MOST DURATION: the daemons call the store so often in that time
-		before := sit.store.Calls()
-		time.Sleep(sit.duration(args[2]))
-		if got, want := sit.store.Calls()-before, sit.number(args[1]); got > want {
-			sit.fatalf("got %d calls, want %d at most", got, want)
-		}
-	case "copies": // copies COUNT[/PARTS]: daemons told each other no more since publish than so many configurations for each
-		count, parts, _ := strings.Cut(args[1]+"/1", "/")
-		parts, _, _ = strings.Cut(parts, "/")
-		// JSON carries bytes as base64, which is a third longer.
-		most := int64(sit.number(count)*len(sit.daemons)*len(sit.published)/sit.number(parts)) * 4 / 3
-		if got := sit.traffic() - sit.exchanged; got > most {
-			sit.fatalf("got %d bytes between daemons, want %d at most", got, most)
-		}
-	case "exchanged": // exchanged KILOBYTES: each daemon exchanged no more than that beyond the idle window
-		got, most := (sit.traffic()-sit.exchanged)/int64(len(sit.daemons)), sit.idle+int64(sit.number(args[1]))<<10
-		if got > most {
-			sit.fatalf("got %d bytes a daemon, want %d at most", got, most)
-		}
 	case "organisation": // organisation CALL NAME: what the endpoint was told, and no key
 		for _, run := range sit.runs(args[1], nil) {
 			if run.Organisation != args[2] || run.Authorized {
@@ -507,15 +472,6 @@
 	return data
 }
 
-// traffic is the number of bytes that daemons sent each other, counted where the connections are opened.
-func (sit *site) traffic() int64 {
-	var sum int64
-	for _, dmn := range sit.daemons {
-		sum += dmn.Exchange.Client.Traffic.Sent.Load() + dmn.Exchange.Client.Traffic.Received.Load()
-	}
-	return sum
-}
-
 func (sit *site) startDaemon(name, domain string) {
 	one := &siteDaemon{done: make(chan error, 1)}
 	door := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
@@ -529,13 +485,13 @@
 	logger := logrus.New()
 	logger.SetOutput(sit.logs)
 	logger.SetFormatter(logline.NewFormatter(name))
-	addresses, err := standin.FreeAddresses(3)
+	addresses, err := standin.FreeAddresses(4)
 	if err != nil {
 		sit.fatalf("%v", err)
 	}
 	set := &settings.Gateway{
 		Name: name, FailureDomain: domain, CallerAddress: addresses[0], ReadyAddress: addresses[1],
-		PeerAddress: addresses[2], StoreAddress: door.Listener.Addr().String(), DrainNotice: document.Duration(8 * time.Second),
+		PeerAddress: addresses[2], MetricsAddress: addresses[3], StoreAddress: door.Listener.Addr().String(), DrainNotice: document.Duration(8 * time.Second),
 		Retries: settings.RetryBudget{Ratio: 0.2, Extra: 50, Window: document.Duration(10 * time.Second)},
 		Log:     settings.Log{Level: "info", Format: "json"},
 	}
@@ -544,7 +500,7 @@
 	platform.Attach(dmn)
 	ctx, cancel := context.WithCancel(context.Background())
 	one.Daemon = dmn
-	one.caller, one.ready, one.stop = set.CallerAddress, set.ReadyAddress, cancel
+	one.caller, one.ready, one.metrics, one.stop = set.CallerAddress, set.ReadyAddress, set.MetricsAddress, cancel
 	sit.daemons[name] = one
 	go func() { one.done <- dmn.Run(ctx) }()
 	sit.await("the daemon to listen", func() bool {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -69,7 +69,9 @@
 	// mutex guards the desk, the budget and the suspects.
 	mutex    sync.Mutex
 	inFlight atomic.Int64
-	sharing  atomic.Pointer[sharing]
+	// waiting is the number of streams that wait for room.
+	waiting atomic.Int64
+	sharing atomic.Pointer[sharing]
 	// drainingSince is the time of the signal to stop in Unix nanoseconds, 0 before.
 	drainingSince atomic.Int64
 	streams       *streams
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -167,6 +167,8 @@
 func (one *run) await(ctx context.Context) dispatch.Choice {
 	rqs := one.request
 	until := rqs.begun.Add(time.Duration(waitShare * float64(rqs.route.Target)))
+	one.server.waiting.Add(1)
+	defer one.server.waiting.Add(-1)
 	for {
 		now := one.server.Now()
 		cho := one.server.choose(now, rqs, one.work, false)
