--- a/soak/main.go
+++ b/soak/main.go
@@ -3,9 +3,12 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -29,7 +32,7 @@
 	cmd := &cobra.Command{
 		Use: "soak", Short: "Run real daemons under random faults and check what is promised", Args: cobra.NoArgs,
 		SilenceUsage: true, SilenceErrors: true,
-		RunE: func(*cobra.Command, []string) error { return opt.run() },
+		RunE: func(cmd *cobra.Command, _ []string) error { return opt.run(cmd.Context()) },
 	}
 	flags := cmd.Flags()
 	flags.StringVar(&opt.program, "program", "target/papayacroftd", "daemon `program`")
@@ -41,14 +44,17 @@
 	flags.IntVar(&opt.engines, "engines", 9, "number of endpoints; the first three are plain ones")
 	flags.Uint64Var(&opt.callers, "callers", 40, "number of callers")
 	flags.BoolVar(&opt.verbose, "verbose", false, "print the plans")
-	if err := cmd.Execute(); err != nil {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := cmd.ExecuteContext(ctx)
+	stop()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		os.Exit(1)
 	}
 }
 
 // run plays the seeds and returns an error if one has findings.
-func (opt *options) run() error {
+func (opt *options) run(ctx context.Context) error {
 	if opt.duration < warmUp+recovery+quiet || opt.daemons < 1 || opt.engines <= deskEndpoints || opt.callers < 1 {
 		return trace.BadParameter("duration %s, %d daemons, %d endpoints, %d callers; at least %s, 1, %d and 1 are expected",
 			opt.duration, opt.daemons, opt.engines, opt.callers, warmUp+recovery+quiet, deskEndpoints+1)
@@ -61,8 +67,8 @@
 		opt.logs = dir
 	}
 	var failed []uint64
-	for seed := opt.seed; seed < opt.seed+opt.seeds; seed++ {
-		rpt, err := opt.play(seed)
+	for seed := opt.seed; seed < opt.seed+opt.seeds && ctx.Err() == nil; seed++ {
+		rpt, err := opt.play(ctx, seed)
 		if err != nil {
 			return trace.Wrap(err, "seed %d", seed)
 		}
@@ -81,7 +87,7 @@
 }
 
 // play runs one seed; it keeps the logs if there are findings.
-func (opt *options) play(seed uint64) (*report, error) {
+func (opt *options) play(ctx context.Context, seed uint64) (*report, error) {
 	dir := filepath.Join(opt.logs, fmt.Sprintf("seed-%d", seed))
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, trace.ConvertSystemError(err)
@@ -100,7 +106,10 @@
 		}
 	}
 	quietFrom := time.Now().Add(opt.duration - quiet)
-	wld.run(plan, opt.duration, opt.callers)
+	wld.run(ctx, plan, opt.duration, opt.callers)
+	if ctx.Err() != nil {
+		return nil, trace.Wrap(ctx.Err())
+	}
 	rpt := wld.check(quietFrom)
 	if len(rpt.findings) == 0 {
 		return rpt, trace.ConvertSystemError(os.RemoveAll(dir))
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -81,21 +81,24 @@
 		if flt.hitsDaemon() {
 			flt.Target = rnd.IntN(daemons)
 		}
-		flt.Length = min(flt.Length, last-flt.At)
-		plan = append(plan, flt)
-		for rnd.Float64() < seriesShare {
-			flt.At += flt.Length + time.Duration(rnd.Int64N(int64(meanGap)))
-			if flt.At >= last {
-				break
-			}
+		for again := true; again && flt.begins(last); again = rnd.Float64() < seriesShare {
 			flt.Length = min(flt.Length, last-flt.At)
 			plan = append(plan, flt)
+			flt.At += flt.Length + time.Duration(rnd.Int64N(int64(meanGap)))
 		}
 	}
 	slices.SortStableFunc(plan, func(one, other Fault) int { return cmp.Compare(one.At, other.At) })
 	return plan
 }
 
+// begins reports whether the fault begins early enough to be over at a time; a planned stop takes its whole notice.
+func (flt Fault) begins(last time.Duration) bool {
+	if flt.Kind == KindStop {
+		return flt.At+drainNotice < last
+	}
+	return flt.At < last
+}
+
 // planned reports whether the fault is work that an operator plans: nothing may be lost by it.
 func (flt Fault) planned() bool {
 	return slices.Contains(plannedKinds, flt.Kind)
