--- a/soak/world.go
+++ b/soak/world.go
@@ -289,8 +289,8 @@
 	data, err := json.Marshal(map[string]any{
 		"version": version, "tenants": tenants,
 		"routes": []map[string]any{
-			route("once", "non_idempotent", "desk", 1, false), route("again", "idempotent", "desk", 2, false),
-			route("long", "stream", "pool", 1, false), route("short", "stream", "pool", 2, true),
+			route("once", "non_idempotent", "desk", 2, false), route("again", "idempotent", "desk", 2, false),
+			route("long", "stream", "pool", 2, false), route("short", "stream", "pool", 2, true),
 		},
 		"services": []map[string]any{{keyName: "desk", "protocol": "h1"}, {keyName: "pool", "protocol": "h1", "engine": engine}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
