--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -79,11 +79,13 @@
 
 type siteEndpoint struct {
 	*standin.SiteEngine
-	server  *httptest.Server
-	service string
-	domain  string
-	born    int64
-	beats   int
+	// answering is what answers at the address, another endpoint after reuse.
+	answering atomic.Pointer[standin.SiteEngine]
+	server    *httptest.Server
+	service   string
+	domain    string
+	born      int64
+	beats     int
 }
 
 type siteDaemon struct {
@@ -219,6 +221,10 @@
 		sit.engines[args[1]].SetLeaves()
 	case "full": // full ENGINE: it takes no copies
 		sit.engines[args[1]].RefuseCopies()
+	case "reuse": // reuse ENGINE NEW: another endpoint answers at its address, while its entry stays
+		other := &siteEndpoint{SiteEngine: standin.NewSiteEngine(args[2]), server: sit.engines[args[1]].server}
+		sit.engines[args[1]].answering.Store(other.SiteEngine)
+		sit.engines[args[2]] = other
 	case "end": // end ENGINE: it is gone
 		sit.engines[args[1]].Stop()
 		sit.engines[args[1]].server.CloseClientConnections()
@@ -251,6 +257,8 @@
 	switch args[0] {
 	case "received": // received CALL COUNT: at least so many events have come
 		sit.await("events", func() bool { return len(sit.calls[args[1]].received()) >= sit.number(args[2]) })
+	case "begun": // begun CALL: an endpoint runs it
+		sit.await("a run", func() bool { return len(sit.runs(args[1], nil)) > 0 })
 	case "until": // until DAEMON ROUTE STATUS [KEY]: calls get the status at last
 		sit.await("status "+args[3], func() bool {
 			name := fmt.Sprintf("until%d", len(sit.calls))
@@ -392,7 +400,10 @@
 			edp.Interval = sit.duration(args[i+1])
 		}
 	}
-	edp.server = httptest.NewServer(edp.SiteEngine)
+	edp.answering.Store(edp.SiteEngine)
+	edp.server = httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		edp.answering.Load().ServeHTTP(wri, req)
+	}))
 	edp.Crash = func() { _ = edp.server.Listener.Close() }
 	sit.pool.Put(edp.server.Listener.Addr().String(), edp.SiteEngine)
 	sit.engines[args[0]] = edp
