--- a/GNUmakefile
+++ b/GNUmakefile
@@ -2,7 +2,7 @@
 LDFLAGS := -X main.version=$(VERSION)
 PROGRAMS := papayacroft papayacroftd papayacroft-standin
 
-.PHONY: all build test scenario claims limits shared-state fleet measure-fleet model bench measure capacity soak lint fmt demo clean
+.PHONY: all build test scenario claims limits shared-state fleet measure-fleet model bench measure capacity soak proof lint fmt demo clean
 
 all: build
 
@@ -62,6 +62,10 @@
 soak: build
 	go run ./soak --program bin/papayacroftd --seed $(SEED) --seeds $(SEEDS) --duration $(DURATION)
 
+# proof takes mechanisms out of a scratch copy and shows that the scripts that guard them fail (10 min).
+proof:
+	go run ./proof
+
 capacity: build
 	go build -o bin/capacity ./capacity
 	bin/capacity --programs bin
