--- a/soak/check.go
+++ b/soak/check.go
@@ -149,7 +149,8 @@
 			last = one
 		}
 	}
-	if cal.daemon.isDisturbed(last.at, cal.ended) {
+	// A daemon that has been in touch for catchUp knows the last version, whatever happened to it before.
+	if cal.daemon.isDisturbed(cal.sent.Add(-catchUp), cal.ended) {
 		return ""
 	}
 	if !last.hasTwo && cal.sent.Sub(last.at) > revokeTime && cal.status == http.StatusOK {
