Count bytes between daemons by reading in the scripts of traffic

Traced with logged notices: on a machine that busy, six daemons heard nothing of the reader for more than 1.15 s, read the topic themselves and told all others, as a daemon has to when a reader is gone; the other part was idle traffic in a window that the busy machine stretched. Ruled out: fetches (one in the traced run) and peers that did not answer (none). Open: each such reader tells all others the whole record again.

--- a/standin/keyedstore.go
+++ b/standin/keyedstore.go
@@ -39,6 +39,8 @@
 	records []keyedRecord
 	newest  map[string]keyedRecord
 	grown   chan struct{}
+	// deliveries is the number of reads that returned records.
+	deliveries int
 }
 
 type keyedRecord struct {
@@ -171,6 +173,7 @@
 			return
 		}
 		if waited || len(data) > keyedReadHeader {
+			kst.deliver(top, len(data) > keyedReadHeader)
 			_, _ = wri.Write(data)
 			return
 		}
@@ -184,6 +187,21 @@
 	}
 }
 
+func (kst *KeyedStore) deliver(top *keyedTopic, records bool) {
+	kst.mutex.Lock()
+	defer kst.mutex.Unlock()
+	if records {
+		top.deliveries++
+	}
+}
+
+// Deliveries returns the number of reads of a topic so far that returned records.
+func (kst *KeyedStore) Deliveries(topic string) int {
+	kst.mutex.Lock()
+	defer kst.mutex.Unlock()
+	return kst.topic(topic).deliveries
+}
+
 func (top *keyedTopic) read(from int64) (data []byte, trimmed bool) {
 	if from < top.first {
 		return nil, true
