Move the words of callers on the wire from the soak to the stand-ins

Cause: soak/caller.go used names of the users' protocol, which stay in platform/ and its stand-ins. Change: standin.NewSiteCall and SiteSignature, no behaviour.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"papayacroft/standin"
 )
 
 const (
@@ -87,23 +89,18 @@
 	}
 	cal.sent = time.Now()
 	defer func() { cal.ended = time.Now() }()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, strings.NewReader("body of "+cal.id))
+	req, err := standin.NewSiteCall(ctx, target, cal.id, "key-"+cal.key, callDeadline)
 	if err != nil {
 		cal.err = err
 		return
 	}
-	req.Host = "site.example"
-	req.Header.Set("Attempt-Id", cal.id)
-	req.Header.Set("Token-Usage", "100,400")
-	req.Header.Set("Deadline-Ms", strconv.FormatInt(callDeadline.Milliseconds(), 10))
-	req.Header.Set("Authorization", "Bearer key-"+cal.key)
 	res, err := trn.RoundTrip(req)
 	if err != nil {
 		cal.err = err
 		return
 	}
 	defer res.Body.Close()
-	cal.status, cal.signature = res.StatusCode, res.Header.Get("Response-Signature")
+	cal.status, cal.signature = res.StatusCode, standin.SiteSignature(res)
 	if res.Header.Get("Content-Type") == "text/event-stream" {
 		cal.readEvents(res.Body)
 		return
