Move the daemons' exchange and the control goroutine to packages of their own

Cause: what daemons tell each other was 7 of the 25 files of gateway, mixed with requests and streams, so its cost could not be tested by itself. Change: packages exchange (exchange, feeds, notices, fetch, peers, sharing) and control (view of configuration, endpoints and peers). The exchange sees the requests through a small interface; the sharing of engines is its own. No behaviour changes.

--- a/gateway/control.go
+++ b/control/control.go
@@ -1,4 +1,5 @@
-package gateway
+// Package control owns a daemon's view of the configuration, the endpoints and the other daemons.
+package control
 
 import (
 	"context"
@@ -55,8 +56,8 @@
 	snapshot atomic.Pointer[Snapshot]
 }
 
-// NewControl returns a Control with an empty view; Run must be started.
-func NewControl() *Control {
+// New returns a Control with an empty view; Run must be started.
+func New() *Control {
 	ctl := &Control{
 		Now: time.Now, fleet: catalog.NewFleet(), peers: map[string]Peer{}, sources: map[string]string{}, inputs: make(chan Input, inputBuffer),
 	}
@@ -110,7 +111,7 @@
 				source = sourceStore
 			}
 			delete(ctl.sources, id)
-			ctl.Logger.WithFields(logrus.Fields{fieldEndpoint: id, "source": source, "listed": snp.has(id)}).Info("endpoint leaves")
+			ctl.Logger.WithFields(logrus.Fields{"endpoint": id, "source": source, "listed": snp.has(id)}).Info("endpoint leaves")
 		}
 		if ctl.OnLeaving != nil {
 			ctl.OnLeaving(id)
@@ -118,11 +119,19 @@
 	}
 	for id, edp := range snp.Fleet.Endpoints {
 		if !old.has(id) {
-			ctl.Logger.WithFields(logrus.Fields{fieldEndpoint: id, "service": edp.Service, "address": edp.Address}).Debug("endpoint added")
+			ctl.Logger.WithFields(logrus.Fields{"endpoint": id, "service": edp.Service, "address": edp.Address}).Debug("endpoint added")
 		}
 	}
 }
 
+// Version returns the version of the configuration in force, 0 without one.
+func (snp *Snapshot) Version() int64 {
+	if snp.Catalog == nil {
+		return 0
+	}
+	return snp.Catalog.Version
+}
+
 func (snp *Snapshot) has(id string) bool {
 	_, listed := snp.Fleet.Endpoints[id]
 	return listed
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -9,6 +9,7 @@
 
 	"papayacroft/blackboard"
 	"papayacroft/entry"
+	"papayacroft/retry"
 )
 
 const (
@@ -36,7 +37,7 @@
 			dmn.entry.EndStreams()
 			return
 		}
-		sleep(ctx, drainPollInterval)
+		retry.Sleep(ctx, drainPollInterval)
 	}
 }
 
@@ -50,7 +51,7 @@
 	defer cancel()
 	// During the grace, requests are still accepted, because the load balancer needs time to see that the daemon isn't
 	// ready any more. One more poll interval lets the last accepted request enter the count of requests in flight.
-	sleep(ctx, min(entry.DrainGrace+drainPollInterval, notice-endMargin(notice)))
+	retry.Sleep(ctx, min(entry.DrainGrace+drainPollInterval, notice-endMargin(notice)))
 	dmn.awaitIdle(ctx, began.Add(notice-endMargin(notice)/2))
 	dmn.entry.AbortCalls()
 	dmn.awaitIdle(ctx, began.Add(notice-endMargin(notice)/4))
@@ -65,6 +66,6 @@
 // awaitIdle waits until no request is in flight, the deadline passes or the context ends.
 func (dmn *Daemon) awaitIdle(ctx context.Context, until time.Time) {
 	for ctx.Err() == nil && dmn.entry.InFlight() > 0 && time.Now().Before(until) {
-		sleep(ctx, drainPollInterval)
+		retry.Sleep(ctx, drainPollInterval)
 	}
 }
--- a/daemon/feed.go
+++ b/daemon/feed.go
@@ -9,6 +9,7 @@
 	"papayacroft/blackboard"
 	"papayacroft/configuration"
 	"papayacroft/provider"
+	"papayacroft/retry"
 )
 
 const (
@@ -29,7 +30,7 @@
 		bat, err := log.Read(ctx, configuration.Stream, asked, logWait)
 		if err != nil {
 			dmn.loop.Send(ctx, blackboard.LogFailure{Err: err})
-			sleep(ctx, pauses.NextBackOff())
+			retry.Sleep(ctx, pauses.NextBackOff())
 			continue
 		}
 		pauses.Reset()
@@ -51,15 +52,6 @@
 		} else {
 			dmn.loop.Send(ctx, blackboard.VMList{VMs: vms})
 		}
-		sleep(ctx, vmPollInterval)
-	}
-}
-
-func sleep(ctx context.Context, dur time.Duration) {
-	tmr := time.NewTimer(dur)
-	defer tmr.Stop()
-	select {
-	case <-tmr.C:
-	case <-ctx.Done():
+		retry.Sleep(ctx, vmPollInterval)
 	}
 }
--- a/daemon/leases.go
+++ b/daemon/leases.go
@@ -12,6 +12,7 @@
 	"papayacroft/lease"
 	"papayacroft/membership"
 	"papayacroft/provider"
+	"papayacroft/retry"
 )
 
 const (
@@ -62,7 +63,7 @@
 	for ctx.Err() == nil {
 		if err := lsr.keeper.ReadLeases(ctx, leaseWait); err != nil {
 			lsr.logger.WithError(err).Debug("leases could not be read")
-			sleep(ctx, leaseWait)
+			retry.Sleep(ctx, leaseWait)
 			continue
 		}
 		// A read after a pause fetches many records at once, which keeps the overhead per record small with many pools.
@@ -74,7 +75,7 @@
 // because this daemon may start to hold or watch a lease meanwhile.
 func (lsr *leaser) pause(ctx context.Context) {
 	for waited := time.Duration(0); waited < lsr.pauseLength() && ctx.Err() == nil; waited += holderPause {
-		sleep(ctx, holderPause)
+		retry.Sleep(ctx, holderPause)
 	}
 }
 
@@ -113,7 +114,7 @@
 				lsr.logger.WithField("pool", name).WithError(err).Debug("renewals could not be read")
 			}
 		}
-		sleep(ctx, watchInterval)
+		retry.Sleep(ctx, watchInterval)
 	}
 }
 
@@ -126,7 +127,7 @@
 				lsr.maintainPool(ctx, snp, name)
 			}
 		}
-		sleep(ctx, maintainInterval)
+		retry.Sleep(ctx, maintainInterval)
 	}
 }
 
--- a/daemon/placement.go
+++ b/daemon/placement.go
@@ -13,6 +13,7 @@
 	"papayacroft/lease"
 	"papayacroft/placement"
 	"papayacroft/provider"
+	"papayacroft/retry"
 	"papayacroft/routing"
 )
 
@@ -80,7 +81,7 @@
 		for _, name := range enginePools(snp) {
 			plc.step(ctx, snp, name, snp.Index.Configuration.Pools[name])
 		}
-		sleep(ctx, placementInterval)
+		retry.Sleep(ctx, placementInterval)
 	}
 }
 
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -11,6 +11,7 @@
 
 	"papayacroft/blackboard"
 	"papayacroft/configuration"
+	"papayacroft/retry"
 )
 
 const (
@@ -50,7 +51,7 @@
 }
 
 func (dmn *Daemon) fetch(ctx context.Context, src source) {
-	sleep(ctx, fetchGrace)
+	retry.Sleep(ctx, fetchGrace)
 	snp := dmn.loop.Snapshot()
 	if src.version <= snp.ConfigurationView.Current.Number && !snp.Behind {
 		return
--- a/daemon/trial.go
+++ b/daemon/trial.go
@@ -41,7 +41,7 @@
 func awaitIdle(ctx context.Context, idle func(ctx context.Context) bool) bool {
 	renew := time.Now().Add(renewInterval)
 	for {
-		sleep(ctx, idlePollInterval)
+		retry.Sleep(ctx, idlePollInterval)
 		if ctx.Err() != nil {
 			return false
 		}
--- a/gateway/exchange.go
+++ b/exchange/exchange.go
@@ -1,15 +1,19 @@
-package gateway
+// Package exchange is what the daemons tell each other: work at endpoints, endpoints that leave, requests that crash
+// endpoints, configuration versions, and the topics of the store, which one daemon reads for all.
+package exchange
 
 import (
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
 
 	"papayacroft/catalog"
+	"papayacroft/control"
 	"papayacroft/dispatch"
 	"papayacroft/peer"
 )
@@ -40,7 +44,7 @@
 	// Usage is the sender's work at endpoints, by endpoint id.
 	Usage map[string]dispatch.Usage `json:"usage,omitempty"`
 	// Crashes are requests that crashed endpoints.
-	Crashes []crash `json:"crashes,omitempty"`
+	Crashes []Crash `json:"crashes,omitempty"`
 	// Leaving has the start times of endpoints that leave, by id.
 	Leaving map[string]int64 `json:"leaving,omitempty"`
 }
@@ -51,16 +55,37 @@
 	Leaving map[string]int64 `json:"leaving,omitempty"`
 }
 
+// Crash is the news that a request crashed an endpoint while it ran there.
+type Crash struct {
+	// Digest identifies the request; it is the same when the caller sends it again.
+	Digest   uint64 `json:"digest,string"`
+	Endpoint string `json:"endpoint"`
+}
+
+// Requests is the state of the requests that this daemon serves, as far as other daemons need it.
+type Requests interface {
+	// Draining reports whether the daemon has received the signal to stop.
+	Draining() bool
+	// LocalUsage returns this daemon's work at endpoints by endpoint id, UsageAt that at one endpoint.
+	LocalUsage() map[string]dispatch.Usage
+	UsageAt(endpoint string) dispatch.Usage
+	// SetPeerUsage records another daemon's work at endpoints.
+	SetPeerUsage(now time.Time, peer string, usage map[string]dispatch.Usage)
+	// Crashes returns recent crashes, NoteCrash records one.
+	Crashes(now time.Time) []Crash
+	NoteCrash(found Crash)
+}
+
 // Exchange gossips with other daemons: it exchanges load, endpoints that leave, crashes and configuration versions, and
 // distributes the topics of the store.
 type Exchange struct {
 	Name, Address, FailureDomain string
 	// Feeds are the followed topics by name.
-	Feeds   map[string]*Feed
-	Server  *Server
-	Control *Control
-	Client  *peer.Client
-	Logger  logrus.FieldLogger
+	Feeds    map[string]*Feed
+	Requests Requests
+	Control  *control.Control
+	Client   *peer.Client
+	Logger   logrus.FieldLogger
 	// Parse decodes a configuration that a peer sent.
 	Parse func(data []byte) (*catalog.Catalog, error)
 	Now   func() time.Time
@@ -71,6 +96,8 @@
 	// newer holds at most one peer with a newer configuration; see noticeVersion.
 	newer chan newerVersion
 
+	sharing atomic.Pointer[sharing]
+
 	mutex sync.Mutex
 	// changed are the engines for which this daemon's work has changed since it was last sent.
 	changed map[string]bool
@@ -78,8 +105,8 @@
 	failures map[string]*peerFailure
 }
 
-// NewExchange returns an exchange that needs its exported fields set before Run.
-func NewExchange() *Exchange {
+// New returns an exchange that needs its exported fields set before Run.
+func New() *Exchange {
 	return &Exchange{Client: peer.NewClient(), Now: time.Now, roundRequests: make(chan struct{}, 1), work: make(chan struct{}, 1),
 		parts: make(chan *TopicPart, feedBuffer), newer: make(chan newerVersion, 1), Feeds: map[string]*Feed{}, failures: map[string]*peerFailure{}, changed: map[string]bool{}}
 }
@@ -93,15 +120,15 @@
 		return exc.answerConfiguration(msg)
 	})
 	srv.Handlers[workMethod] = answer(func(_ context.Context, msg *message) any {
-		exc.applyUsage(msg)
+		exc.Requests.SetPeerUsage(exc.Now(), msg.Name, msg.Usage)
 		return nil
 	})
 	srv.Handlers[leavingMethod] = answer(func(ctx context.Context, msg *message) any {
-		exc.Control.Send(ctx, Leaving{BornAt: msg.Leaving, Source: msg.Name})
+		exc.Control.Send(ctx, control.Leaving{BornAt: msg.Leaving, Source: msg.Name})
 		return nil
 	})
-	srv.Handlers[crashMethod] = answer(func(_ context.Context, found *crash) any {
-		exc.Server.noteCrash(*found)
+	srv.Handlers[crashMethod] = answer(func(_ context.Context, found *Crash) any {
+		exc.Requests.NoteCrash(*found)
 		return nil
 	})
 	srv.Handlers[topicMethod] = answer(func(_ context.Context, part *TopicPart) any {
@@ -146,18 +173,6 @@
 	}
 }
 
-func (exc *Exchange) usage() map[string]dispatch.Usage {
-	exc.Server.mutex.Lock()
-	defer exc.Server.mutex.Unlock()
-	return exc.Server.Balancer.LocalUsage()
-}
-
-func (exc *Exchange) applyUsage(msg *message) {
-	exc.Server.mutex.Lock()
-	defer exc.Server.mutex.Unlock()
-	exc.Server.Balancer.SetPeerUsage(exc.Now(), msg.Name, msg.Usage)
-}
-
 func (exc *Exchange) round(ctx context.Context, count int) {
 	snp := exc.Control.Snapshot()
 	msg := exc.compose(snp)
@@ -166,14 +181,14 @@
 	}
 }
 
-func (exc *Exchange) compose(snp *Snapshot) *message {
+func (exc *Exchange) compose(snp *control.Snapshot) *message {
 	return &message{
-		Name: exc.Name, Address: exc.Address, FailureDomain: exc.FailureDomain, Draining: exc.Server.Draining(),
-		Crashes: exc.Server.crashes(exc.Now()), Version: currentVersion(snp), Usage: exc.usage(), Leaving: exc.leaving(snp),
+		Name: exc.Name, Address: exc.Address, FailureDomain: exc.FailureDomain, Draining: exc.Requests.Draining(),
+		Crashes: exc.Requests.Crashes(exc.Now()), Version: snp.Version(), Usage: exc.Requests.LocalUsage(), Leaving: exc.leaving(snp),
 	}
 }
 
-func (exc *Exchange) leaving(snp *Snapshot) map[string]int64 {
+func (exc *Exchange) leaving(snp *control.Snapshot) map[string]int64 {
 	bornAt := map[string]int64{}
 	for id, mrk := range snp.Fleet.Leaving {
 		if exc.Now().Sub(mrk.At) < leavingGossipTime {
@@ -193,25 +208,25 @@
 		return
 	}
 	if len(reply.Leaving) > 0 {
-		exc.Control.Send(ctx, Leaving{BornAt: reply.Leaving, Source: address})
+		exc.Control.Send(ctx, control.Leaving{BornAt: reply.Leaving, Source: address})
 	}
 	exc.noticeVersion(reply.Version, address)
 }
 
 func (exc *Exchange) receive(ctx context.Context, msg *message) *messageReply {
-	exc.applyUsage(msg)
+	exc.Requests.SetPeerUsage(exc.Now(), msg.Name, msg.Usage)
 	for _, found := range msg.Crashes {
-		exc.Server.noteCrash(found)
+		exc.Requests.NoteCrash(found)
 	}
 	snp := exc.Control.Snapshot()
-	per := Peer{Address: msg.Address, FailureDomain: msg.FailureDomain, Draining: msg.Draining}
+	per := control.Peer{Address: msg.Address, FailureDomain: msg.FailureDomain, Draining: msg.Draining}
 	if per != snp.Peers[msg.Name] {
-		exc.Control.Send(ctx, PeerList{Peers: map[string]Peer{msg.Name: per}})
+		exc.Control.Send(ctx, control.PeerList{Peers: map[string]control.Peer{msg.Name: per}})
 	}
 	if len(msg.Leaving) > 0 {
-		exc.Control.Send(ctx, Leaving{BornAt: msg.Leaving, Source: msg.Name})
+		exc.Control.Send(ctx, control.Leaving{BornAt: msg.Leaving, Source: msg.Name})
 	}
-	reply := &messageReply{Version: currentVersion(snp), Leaving: exc.leaving(snp)}
+	reply := &messageReply{Version: snp.Version(), Leaving: exc.leaving(snp)}
 	for id := range msg.Leaving {
 		delete(reply.Leaving, id)
 	}
--- a/gateway/feed.go
+++ b/exchange/feed.go
@@ -1,4 +1,4 @@
-package gateway
+package exchange
 
 import (
 	"context"
@@ -8,6 +8,8 @@
 
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
+
+	"papayacroft/control"
 )
 
 const (
@@ -74,7 +76,7 @@
 	// Wait is the time for which a read waits for records, and Interval the pause between two reads.
 	Wait, Interval time.Duration
 	Reader         TopicReader
-	Control        *Control
+	Control        *control.Control
 	Logger         logrus.FieldLogger
 	Now            func() time.Time
 	// Apply applies records and returns those to share with peers; whole is true if they are the whole topic.
@@ -168,13 +170,13 @@
 		fed.next, fed.due = unread, now
 		return
 	case err != nil:
-		fed.Control.Send(ctx, StoreRead{Err: err})
+		fed.Control.Send(ctx, control.StoreRead{Err: err})
 		fed.due = now.Add(spread(fed.pause))
 		fed.pause = min(2*fed.pause, maxFeedPause)
 		return
 	}
 	fed.pause, fed.next, fed.readAt, fed.due = minFeedPause, next, now, now.Add(fed.Interval)
-	fed.Control.Send(ctx, StoreRead{})
+	fed.Control.Send(ctx, control.StoreRead{})
 	if whole || len(records) > 0 {
 		fed.pending.Add(1)
 		records = fed.Apply(ctx, records, whole)
@@ -227,7 +229,7 @@
 		fed.next, fed.shared = part.Next, part.Next
 	}
 	fed.pause = minFeedPause
-	fed.Control.Send(ctx, StoreRead{})
+	fed.Control.Send(ctx, control.StoreRead{})
 	// If several daemons read the topic, only the one with the lowest name continues.
 	if reads := now.Sub(fed.readAt) < fed.Wait+fed.Interval+takeoverDelay; !reads || part.Reader < fed.Name {
 		fed.due = now.Add(fed.Wait + fed.Interval + takeoverDelay + time.Duration(rand.Int64N(int64(takeoverJitter))))
--- a/gateway/feed_test.go
+++ b/exchange/feed_test.go
@@ -1,4 +1,4 @@
-package gateway_test
+package exchange_test
 
 import (
 	"context"
@@ -8,7 +8,8 @@
 
 	"github.com/sirupsen/logrus"
 
-	"papayacroft/gateway"
+	"papayacroft/control"
+	"papayacroft/exchange"
 )
 
 // feeds is the number of feeds that the test runs: a faulty feed that chose at random between a queued part and its next
@@ -17,19 +18,19 @@
 
 // sharedTopicReader is an empty topic that a second daemon reads too: a part from that daemon arrives during each read.
 type sharedTopicReader struct {
-	feed  *gateway.Feed
+	feed  *exchange.Feed
 	reads atomic.Int64
 }
 
 // Newest returns no records.
-func (rdr *sharedTopicReader) Newest(context.Context, string) ([]gateway.Record, int64, error) {
+func (rdr *sharedTopicReader) Newest(context.Context, string) ([]exchange.Record, int64, error) {
 	return nil, 0, nil
 }
 
 // Read returns no records; meanwhile, a part from the other daemon arrives.
-func (rdr *sharedTopicReader) Read(_ context.Context, topic string, from int64, _ time.Duration) ([]gateway.Record, int64, error) {
+func (rdr *sharedTopicReader) Read(_ context.Context, topic string, from int64, _ time.Duration) ([]exchange.Record, int64, error) {
 	rdr.reads.Add(1)
-	rdr.feed.Enqueue(&gateway.TopicPart{Topic: topic, Reader: "a", From: from, Next: from})
+	rdr.feed.Enqueue(&exchange.TopicPart{Topic: topic, Reader: "a", From: from, Next: from})
 	return nil, from, nil
 }
 
@@ -41,13 +42,13 @@
 	defer cancel()
 	readers := make([]*sharedTopicReader, feeds)
 	for i := range readers {
-		fed := gateway.NewFeed()
-		ctl := gateway.NewControl()
+		fed := exchange.NewFeed()
+		ctl := control.New()
 		ctl.Logger = logrus.New()
 		readers[i] = &sharedTopicReader{feed: fed}
 		fed.Name, fed.Topic, fed.Wait, fed.Reader, fed.Control, fed.Logger = "b", "topic", time.Minute, readers[i], ctl, ctl.Logger
-		fed.Apply = func(context.Context, []gateway.Record, bool) []gateway.Record { return nil }
-		fed.Share = func(*gateway.TopicPart) {}
+		fed.Apply = func(context.Context, []exchange.Record, bool) []exchange.Record { return nil }
+		fed.Share = func(*exchange.TopicPart) {}
 		go ctl.Run(ctx)
 		go fed.Run(ctx)
 	}
--- a/gateway/fetch.go
+++ b/exchange/fetch.go
@@ -1,4 +1,4 @@
-package gateway
+package exchange
 
 import (
 	"context"
@@ -7,6 +7,8 @@
 	"github.com/gravitational/trace"
 
 	"papayacroft/catalog"
+	"papayacroft/control"
+	"papayacroft/retry"
 )
 
 const (
@@ -32,7 +34,7 @@
 // noticeVersion queues a fetch from a peer if its configuration is newer. If a fetch is queued already, it drops this
 // one: the peer's next message announces the version again.
 func (exc *Exchange) noticeVersion(version int64, address string) {
-	if address == "" || version <= currentVersion(exc.Control.Snapshot()) {
+	if address == "" || version <= exc.Control.Snapshot().Version() {
 		return
 	}
 	select {
@@ -49,11 +51,11 @@
 		case <-ctx.Done():
 			return
 		case found := <-exc.newer:
-			sleep(ctx, fetchDelay)
+			retry.Sleep(ctx, fetchDelay)
 			for exc.hasPendingParts() && ctx.Err() == nil {
-				sleep(ctx, fetchPoll)
+				retry.Sleep(ctx, fetchPoll)
 			}
-			if currentVersion(exc.Control.Snapshot()) < found.version {
+			if exc.Control.Snapshot().Version() < found.version {
 				exc.fetch(ctx, found.address)
 			}
 		}
@@ -74,7 +76,7 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var reply configurationReply
-	err := exc.Client.Call(ctx, address, configurationMethod, &message{Version: currentVersion(exc.Control.Snapshot())}, &reply)
+	err := exc.Client.Call(ctx, address, configurationMethod, &message{Version: exc.Control.Snapshot().Version()}, &reply)
 	exc.noteAnswer(address, err)
 	if err != nil || len(reply.Packed) == 0 {
 		return
@@ -84,7 +86,7 @@
 		exc.Logger.WithError(err).WithField("peer", address).Warn("configuration from a peer is invalid; ignored")
 		return
 	}
-	exc.Control.Send(ctx, ConfigurationUpdate{Catalog: cat, Source: address})
+	exc.Control.Send(ctx, control.ConfigurationUpdate{Catalog: cat, Source: address})
 }
 
 func (exc *Exchange) parsePacked(packed []byte) (*catalog.Catalog, error) {
@@ -98,7 +100,7 @@
 // answerConfiguration returns the configuration in force if the requesting peer's version is older.
 func (exc *Exchange) answerConfiguration(msg *message) *configurationReply {
 	snp := exc.Control.Snapshot()
-	if currentVersion(snp) <= msg.Version {
+	if snp.Version() <= msg.Version {
 		return &configurationReply{}
 	}
 	packed, err := deflate(snp.Catalog.Raw)
@@ -107,10 +109,3 @@
 	}
 	return &configurationReply{Packed: packed}
 }
-
-func currentVersion(snp *Snapshot) int64 {
-	if snp.Catalog == nil {
-		return 0
-	}
-	return snp.Catalog.Version
-}
--- a/gateway/notices.go
+++ b/exchange/notices.go
@@ -1,10 +1,11 @@
-package gateway
+package exchange
 
 import (
 	"context"
 	"time"
 
 	"papayacroft/dispatch"
+	"papayacroft/retry"
 )
 
 const (
@@ -25,7 +26,7 @@
 )
 
 // ShareCrash broadcasts to all peers that a request crashed an endpoint.
-func (exc *Exchange) ShareCrash(found crash) {
+func (exc *Exchange) ShareCrash(found Crash) {
 	exc.notify(context.Background(), exc.addresses(maxAddressees), crashMethod, found)
 }
 
@@ -71,7 +72,7 @@
 		case <-ctx.Done():
 			return
 		case <-exc.work:
-			sleep(ctx, workDelay)
+			retry.Sleep(ctx, workDelay)
 			exc.sendWork(ctx)
 		case part := <-exc.parts:
 			exc.forward(ctx, part)
@@ -85,15 +86,13 @@
 	changed := exc.changed
 	exc.changed = map[string]bool{}
 	exc.mutex.Unlock()
-	shr := exc.Server.sharing.Load()
+	shr := exc.sharing.Load()
 	if shr == nil {
 		return
 	}
 	answering := exc.Answering()
 	for id := range changed {
-		exc.Server.mutex.Lock()
-		msg := &message{Name: exc.Name, Usage: map[string]dispatch.Usage{id: exc.Server.Balancer.UsageAt(id)}}
-		exc.Server.mutex.Unlock()
+		msg := &message{Name: exc.Name, Usage: map[string]dispatch.Usage{id: exc.Requests.UsageAt(id)}}
 		var addresses []string
 		for _, name := range shr.users[id] {
 			if per, ok := answering[name]; ok {
--- a/gateway/pack.go
+++ b/exchange/pack.go
@@ -1,4 +1,4 @@
-package gateway
+package exchange
 
 import (
 	"bytes"
--- a/gateway/peers.go
+++ b/exchange/peers.go
@@ -1,8 +1,10 @@
-package gateway
+package exchange
 
 import (
 	"math/rand/v2"
 	"time"
+
+	"papayacroft/control"
 )
 
 const (
@@ -52,8 +54,8 @@
 }
 
 // Answering returns the peers whose last call did not fail, by name.
-func (exc *Exchange) Answering() map[string]Peer {
-	answering := map[string]Peer{}
+func (exc *Exchange) Answering() map[string]control.Peer {
+	answering := map[string]control.Peer{}
 	exc.mutex.Lock()
 	defer exc.mutex.Unlock()
 	for name, per := range exc.Control.Snapshot().Peers {
--- a/gateway/sharing.go
+++ b/exchange/sharing.go
@@ -1,10 +1,11 @@
-package gateway
+package exchange
 
 import (
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
+	"papayacroft/control"
 	"papayacroft/dispatch"
 )
 
@@ -21,7 +22,7 @@
 }
 
 // newSharing assigns the engines of a snapshot to the members; it returns the old assignment if nothing has changed.
-func newSharing(old *sharing, snp *Snapshot, name string, members []string) *sharing {
+func newSharing(old *sharing, snp *control.Snapshot, name string, members []string) *sharing {
 	signature := xxhash.Sum64String(name)
 	for _, one := range members {
 		signature += xxhash.Sum64String(one)
@@ -49,3 +50,16 @@
 	}
 	return shr
 }
+
+// ShareEngines assigns the engines of a snapshot to the daemons that answer.
+func (exc *Exchange) ShareEngines(snp *control.Snapshot) {
+	exc.sharing.Store(newSharing(exc.sharing.Load(), snp, exc.Name, exc.Members()))
+}
+
+// OwnEngines returns the engines that this daemon uses; nil means all engines.
+func (exc *Exchange) OwnEngines() map[string]bool {
+	if shr := exc.sharing.Load(); shr != nil {
+		return shr.own
+	}
+	return nil
+}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"papayacroft/catalog"
+	"papayacroft/exchange"
 )
 
 const (
@@ -21,12 +22,6 @@
 	condemnedRetry = 30 * time.Second
 )
 
-// crash is the message between daemons that a request crashed an endpoint.
-type crash struct {
-	Digest   uint64 `json:"digest,string"`
-	Endpoint string `json:"endpoint"`
-}
-
 // digest returns a hash of the parts of a request that stay the same when its caller retries it.
 func (rqs *request) digest() uint64 {
 	sum := xxhash.New()
@@ -55,7 +50,7 @@
 	if _, leaving := srv.Snapshots.Snapshot().Fleet.Leaving[edp.ID]; leaving {
 		return
 	}
-	found := crash{Digest: rqs.digest(), Endpoint: edp.ID}
+	found := exchange.Crash{Digest: rqs.digest(), Endpoint: edp.ID}
 	go func() {
 		time.Sleep(crashCheckDelay)
 		con, err := net.DialTimeout("tcp", edp.Address, dialTimeout)
@@ -64,27 +59,28 @@
 			return
 		}
 		rqs.logger.WithFields(logrus.Fields{fieldEndpoint: edp.ID}).WithError(err).Warn("endpoint crashed while it ran the request")
-		srv.noteCrash(found)
+		srv.NoteCrash(found)
 		if srv.OnCrash != nil {
 			srv.OnCrash(found)
 		}
 	}()
 }
 
-func (srv *Server) noteCrash(found crash) {
+// NoteCrash records that a request crashed an endpoint.
+func (srv *Server) NoteCrash(found exchange.Crash) {
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
 	srv.Suspects.Crashed(srv.Now(), found.Digest, found.Endpoint)
 }
 
-// crashes returns up to maxSharedCrashes recorded crashes; gossip carries them to peers that missed the broadcast.
-func (srv *Server) crashes(now time.Time) []crash {
+// Crashes returns up to maxSharedCrashes recorded crashes; gossip carries them to peers that missed the broadcast.
+func (srv *Server) Crashes(now time.Time) []exchange.Crash {
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
-	var found []crash
+	var found []exchange.Crash
 	srv.Suspects.Each(now, func(digest uint64, endpoint string) {
 		if len(found) < maxSharedCrashes {
-			found = append(found, crash{Digest: digest, Endpoint: endpoint})
+			found = append(found, exchange.Crash{Digest: digest, Endpoint: endpoint})
 		}
 	})
 	return found
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -13,7 +13,10 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"papayacroft/control"
+	"papayacroft/exchange"
 	"papayacroft/peer"
+	"papayacroft/retry"
 	"papayacroft/settings"
 )
 
@@ -38,8 +41,8 @@
 	Logger   *logrus.Logger
 	Version  string
 	Server   *Server
-	Control  *Control
-	Exchange *Exchange
+	Control  *control.Control
+	Exchange *exchange.Exchange
 	Prober   *Prober
 	// Tasks are functions to run in the background; their context is cancelled when the daemon stops.
 	Tasks []func(ctx context.Context)
@@ -47,7 +50,7 @@
 
 // NewDaemon returns a daemon that needs its exported fields set before Run.
 func NewDaemon() *Daemon {
-	return &Daemon{Server: NewServer(), Control: NewControl(), Exchange: NewExchange(), Prober: NewProber()}
+	return &Daemon{Server: NewServer(), Control: control.New(), Exchange: exchange.New(), Prober: NewProber()}
 }
 
 // Run serves until the context is cancelled, then drains: it finishes the requests in flight within the drain notice.
@@ -115,18 +118,19 @@
 	srv.Snapshots, srv.Logger = dmn.Control, dmn.Logger
 	srv.Balancer.FailureDomain = set.FailureDomain
 	srv.Budget.SetLimits(set.Retries.Ratio, set.Retries.Extra, time.Duration(set.Retries.Window))
-	dmn.Exchange.Name, dmn.Exchange.Server, dmn.Exchange.Control, dmn.Exchange.Logger = set.Name, srv, dmn.Control, dmn.Logger
+	dmn.Exchange.Name, dmn.Exchange.Requests, dmn.Exchange.Control, dmn.Exchange.Logger = set.Name, srv, dmn.Control, dmn.Logger
 	dmn.Control.Logger = dmn.Logger
 	srv.DrainNotice = time.Duration(set.DrainNotice) - exitMargin
 	dmn.Exchange.FailureDomain = set.FailureDomain
 	srv.HasNeighbour = dmn.Exchange.HasNeighbour
+	srv.OwnEngines = dmn.Exchange.OwnEngines
 	srv.OnCrash = dmn.Exchange.ShareCrash
 	srv.OnWork = dmn.Exchange.WorkChanged
 	dmn.Prober.Name, dmn.Prober.Control, dmn.Prober.Exchange, dmn.Prober.Engines, dmn.Prober.Logger = set.Name, dmn.Control, dmn.Exchange, srv.Engines, dmn.Logger
 	dmn.Exchange.Address = set.PeerAddress
 	dmn.Control.OnLeaving = srv.EndpointLeaves
-	dmn.Control.OnTick = func(snp *Snapshot) {
-		srv.sharing.Store(newSharing(srv.sharing.Load(), snp, set.Name, dmn.Exchange.Members()))
+	dmn.Control.OnTick = func(snp *control.Snapshot) {
+		dmn.Exchange.ShareEngines(snp)
 		srv.mutex.Lock()
 		defer srv.mutex.Unlock()
 		srv.Budget.Daemons = len(dmn.Exchange.Members())
@@ -184,7 +188,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(time.Duration(dmn.Settings.DrainNotice)-exitMargin))
 	defer cancel()
 	for dmn.Server.InFlight() > 0 && ctx.Err() == nil {
-		sleep(ctx, drainPoll)
+		retry.Sleep(ctx, drainPoll)
 	}
 	if err := callers.Shutdown(ctx); err != nil {
 		dmn.Logger.WithError(err).WithField("inFlight", dmn.Server.InFlight()).Warn("requests still in flight at the end of the drain notice")
--- a/gateway/failure_test.go
+++ b/gateway/failure_test.go
@@ -11,9 +11,19 @@
 	"github.com/sirupsen/logrus"
 
 	"papayacroft/catalog"
+	"papayacroft/control"
 	"papayacroft/dispatch"
 )
 
+// fixedSnapshot is a view that does not change.
+type fixedSnapshot control.Snapshot
+
+// Snapshot returns the view.
+func (snp fixedSnapshot) Snapshot() *control.Snapshot {
+	one := control.Snapshot(snp)
+	return &one
+}
+
 // A caller that disconnects must not lower the rating of an endpoint. A daemon that was frozen finds many requests whose
 // callers have disconnected; when it recorded them as failures of the endpoints, it refused the requests that followed
 // (kowhai-votes scale-1, seed 288757404262: 11 refusals after a freeze of 3 s).
@@ -22,13 +32,12 @@
 	edp := catalog.Endpoint{ID: "e", Service: "desk", Address: "127.0.0.1:1", State: catalog.StateReady, Slots: 4}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	ctl := NewControl()
-	ctl.snapshot.Store(&Snapshot{
+	srv := NewServer()
+	srv.Snapshots = fixedSnapshot{
 		Catalog: catalog.NewCatalog(1, nil, []catalog.Service{{Name: "desk"}}, nil),
 		Fleet:   catalog.FleetView{Endpoints: map[string]catalog.Endpoint{"e": edp}},
-	})
-	srv := NewServer()
-	srv.Snapshots, srv.Logger, srv.Now = ctl, logger, func() time.Time { return now }
+	}
+	srv.Logger, srv.Now = logger, func() time.Time { return now }
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	rqs := &request{
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -7,6 +7,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"papayacroft/control"
 )
 
 const metricsNamespace = "papayacroft_gateway"
@@ -61,31 +63,31 @@
 
 // registerGauges registers gauges of the daemon's current state.
 func (met *Metrics) registerGauges(dmn *Daemon) {
-	gauge := func(name, help string, read func(snp *Snapshot) float64) {
+	gauge := func(name, help string, read func(snp *control.Snapshot) float64) {
 		met.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: metricsNamespace, Name: name, Help: help},
 			func() float64 { return read(dmn.Control.Snapshot()) }))
 	}
-	gauge("configuration_version", "Version of the configuration in force, 0 without one.", func(snp *Snapshot) float64 {
-		return float64(currentVersion(snp))
+	gauge("configuration_version", "Version of the configuration in force, 0 without one.", func(snp *control.Snapshot) float64 {
+		return float64(snp.Version())
 	})
-	gauge("store_age_seconds", "Time since any daemon's last read of the store that this one knows of.", func(snp *Snapshot) float64 {
+	gauge("store_age_seconds", "Time since any daemon's last read of the store that this one knows of.", func(snp *control.Snapshot) float64 {
 		return time.Since(snp.StoreReadAt).Seconds()
 	})
-	gauge("endpoints", "Endpoints known.", func(snp *Snapshot) float64 { return float64(len(snp.Fleet.Endpoints)) })
-	gauge("endpoints_leaving", "Endpoints known to leave.", func(snp *Snapshot) float64 { return float64(len(snp.Fleet.Leaving)) })
-	gauge("peers_answering", "Other daemons that answer.", func(*Snapshot) float64 { return float64(len(dmn.Exchange.Answering())) })
-	gauge("requests_in_flight", "Requests being served.", func(*Snapshot) float64 { return float64(dmn.Server.InFlight()) })
-	gauge("streams_waiting", "Streams that wait for room at an engine.", func(*Snapshot) float64 { return float64(dmn.Server.waiting.Load()) })
-	gauge("oldest_report_seconds", "Age of the oldest report of an endpoint's load that counts in decisions.", func(*Snapshot) float64 {
+	gauge("endpoints", "Endpoints known.", func(snp *control.Snapshot) float64 { return float64(len(snp.Fleet.Endpoints)) })
+	gauge("endpoints_leaving", "Endpoints known to leave.", func(snp *control.Snapshot) float64 { return float64(len(snp.Fleet.Leaving)) })
+	gauge("peers_answering", "Other daemons that answer.", func(*control.Snapshot) float64 { return float64(len(dmn.Exchange.Answering())) })
+	gauge("requests_in_flight", "Requests being served.", func(*control.Snapshot) float64 { return float64(dmn.Server.InFlight()) })
+	gauge("streams_waiting", "Streams that wait for room at an engine.", func(*control.Snapshot) float64 { return float64(dmn.Server.waiting.Load()) })
+	gauge("oldest_report_seconds", "Age of the oldest report of an endpoint's load that counts in decisions.", func(*control.Snapshot) float64 {
 		report, _ := dmn.Server.ages()
 		return report.Seconds()
 	})
-	gauge("oldest_peer_usage_seconds", "Age of the oldest word of a peer's load that counts in decisions.", func(*Snapshot) float64 {
+	gauge("oldest_peer_usage_seconds", "Age of the oldest word of a peer's load that counts in decisions.", func(*control.Snapshot) float64 {
 		_, usage := dmn.Server.ages()
 		return usage.Seconds()
 	})
-	gauge("repeats_left", "Repeats left in the window, of the service with the fewest.", func(*Snapshot) float64 { return dmn.Server.repeatsLeft() })
-	gauge("draining", "1 from the signal to stop on.", func(*Snapshot) float64 {
+	gauge("repeats_left", "Repeats left in the window, of the service with the fewest.", func(*control.Snapshot) float64 { return dmn.Server.repeatsLeft() })
+	gauge("draining", "1 from the signal to stop on.", func(*control.Snapshot) float64 {
 		if dmn.Server.Draining() {
 			return 1
 		}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -9,6 +9,7 @@
 
 	"papayacroft/catalog"
 	"papayacroft/dispatch"
+	"papayacroft/retry"
 )
 
 const (
@@ -142,7 +143,7 @@
 	srv.Logger.WithFields(logrus.Fields{fieldEndpoint: source.ID, "own": len(runs), "all": len(rpt.Runs), "leavesIn": rpt.LeavesIn.String()}).Info("moving generations")
 	for _, one := range runs {
 		go func() {
-			sleep(one.http.Context(), starts[one.ID])
+			retry.Sleep(one.http.Context(), starts[one.ID])
 			one.move(&source)
 		}()
 	}
--- a/gateway/prober.go
+++ b/gateway/prober.go
@@ -7,7 +7,9 @@
 	"github.com/sirupsen/logrus"
 
 	"papayacroft/catalog"
+	"papayacroft/control"
 	"papayacroft/dispatch"
+	"papayacroft/exchange"
 )
 
 const (
@@ -22,8 +24,8 @@
 // which broadcasts the result if the engine leaves.
 type Prober struct {
 	Name     string
-	Control  *Control
-	Exchange *Exchange
+	Control  *control.Control
+	Exchange *exchange.Exchange
 	Engines  Engines
 	Logger   logrus.FieldLogger
 	Now      func() time.Time
@@ -63,13 +65,13 @@
 	}
 	prb.Logger.WithFields(logrus.Fields{fieldEndpoint: edp.ID, "leavesIn": rpt.LeavesIn.String()}).Info("engine reports that it leaves")
 	bornAt := map[string]int64{edp.ID: edp.StartedAt}
-	prb.Control.Send(ctx, Leaving{BornAt: bornAt, Source: "engine"})
+	prb.Control.Send(ctx, control.Leaving{BornAt: bornAt, Source: "engine"})
 	prb.Exchange.ShareLeaving(bornAt)
 }
 
 // assignedEngines returns the engines that the named member probes. Members with the same view of engines and members
 // derive the same assignment.
-func assignedEngines(snp *Snapshot, name string, members []string) []catalog.Endpoint {
+func assignedEngines(snp *control.Snapshot, name string, members []string) []catalog.Endpoint {
 	var endpoints []catalog.Endpoint
 	for id, edp := range snp.Fleet.Endpoints {
 		_, leaving := snp.Fleet.Leaving[id]
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -14,7 +14,10 @@
 	"github.com/sirupsen/logrus"
 
 	"papayacroft/catalog"
+	"papayacroft/control"
 	"papayacroft/dispatch"
+	"papayacroft/exchange"
+	"papayacroft/retry"
 )
 
 const (
@@ -43,7 +46,7 @@
 
 // SnapshotSource provides the newest snapshot of configuration, endpoints and peers.
 type SnapshotSource interface {
-	Snapshot() *Snapshot
+	Snapshot() *control.Snapshot
 }
 
 // Server is the HTTP handler of callers' requests.
@@ -59,11 +62,13 @@
 	Logger   logrus.FieldLogger
 	Now      func() time.Time
 	// OnCrash, if set, is called when a request has crashed an endpoint.
-	OnCrash func(found crash)
+	OnCrash func(found exchange.Crash)
 	// DrainNotice is the time from the stop signal to the end of the process.
 	DrainNotice time.Duration
 	// HasNeighbour, if set, reports whether another daemon of the same failure domain accepts requests.
 	HasNeighbour func() bool
+	// OwnEngines, if set, returns the engines that this daemon uses; nil means all.
+	OwnEngines func() map[string]bool
 	// OnWork, if set, is called when a generation was sent to an engine or has ended there; it must not block.
 	OnWork func(endpoint string)
 
@@ -72,7 +77,6 @@
 	inFlight atomic.Int64
 	// waiting is the number of streams that wait for free capacity at an engine.
 	waiting atomic.Int64
-	sharing atomic.Pointer[sharing]
 	// drainingSince is the time of the stop signal in Unix nanoseconds; 0 until the signal arrives.
 	drainingSince atomic.Int64
 	streams       *streams
@@ -203,7 +207,7 @@
 	ctx, cancel := context.WithTimeout(ctx, endpointsWait)
 	defer cancel()
 	for len(srv.Snapshots.Snapshot().Fleet.Endpoints) == 0 && ctx.Err() == nil {
-		sleep(ctx, endpointsPoll)
+		retry.Sleep(ctx, endpointsPoll)
 	}
 }
 
@@ -269,8 +273,8 @@
 
 func (srv *Server) decide(now time.Time, req *dispatch.Request) dispatch.Choice {
 	snp := srv.Snapshots.Snapshot()
-	if shr := srv.sharing.Load(); shr != nil {
-		req.Preferred = shr.own
+	if srv.OwnEngines != nil {
+		req.Preferred = srv.OwnEngines()
 	}
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
@@ -304,6 +308,27 @@
 	return flt
 }
 
+// LocalUsage returns this daemon's work at endpoints, by endpoint id.
+func (srv *Server) LocalUsage() map[string]dispatch.Usage {
+	srv.mutex.Lock()
+	defer srv.mutex.Unlock()
+	return srv.Balancer.LocalUsage()
+}
+
+// UsageAt returns this daemon's work at an endpoint.
+func (srv *Server) UsageAt(endpoint string) dispatch.Usage {
+	srv.mutex.Lock()
+	defer srv.mutex.Unlock()
+	return srv.Balancer.UsageAt(endpoint)
+}
+
+// SetPeerUsage records another daemon's work at endpoints.
+func (srv *Server) SetPeerUsage(now time.Time, peer string, usage map[string]dispatch.Usage) {
+	srv.mutex.Lock()
+	defer srv.mutex.Unlock()
+	srv.Balancer.SetPeerUsage(now, peer, usage)
+}
+
 func (srv *Server) started(flt *dispatch.Flight) {
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -12,6 +12,7 @@
 
 	"papayacroft/catalog"
 	"papayacroft/dispatch"
+	"papayacroft/retry"
 )
 
 const (
@@ -177,7 +178,7 @@
 		if cho.Endpoint != nil || cho.Reason != dispatch.ReasonFull || ctx.Err() != nil || !now.Before(until) {
 			return cho
 		}
-		sleep(ctx, capacityPoll)
+		retry.Sleep(ctx, capacityPoll)
 	}
 }
 
@@ -403,12 +404,3 @@
 	defer one.mutex.Unlock()
 	return one.copy
 }
-
-func sleep(ctx context.Context, dur time.Duration) {
-	tmr := time.NewTimer(dur)
-	defer tmr.Stop()
-	select {
-	case <-tmr.C:
-	case <-ctx.Done():
-	}
-}
