Bound what a daemon tells the others by a ring, relays and a succession of readers

Each daemon read each topic on its own and told all others, gossiped with three random peers each 0.4 s (so it kept a connection to each), repeated the marks of all leaving endpoints both ways, assigned every engine by sorting all members each 0.1 s, and copied all endpoints for each input. Change: daemons form a ring by the hash of their names. Each gossips with one neighbour at distances 1, 2, 4 and so on each 0.4 s; a sum of the leaving marks replaces them. A broadcast goes through relays that confirm it, and the next of a group replaces one that does not. The reader of a topic has successors that all derive alike; it announces itself, and a daemon that missed a part reads once for itself alone. Views, rosters and assignments are made again only after a change. Test: TestFleet plays the real code in simulated time with 30, 100 and 300 daemons (start, versions with a third turned away, reader killed and frozen, a third frozen, endpoints that come and go). The feed test checks precedence in place of the lower name, in simulated time.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -12,6 +12,7 @@
 
 test: build
 	go test -race -count=1 -timeout 20m ./...
+	go test -count=1 -timeout 10m ./exchange -run TestFleet
 
 scenario:
 	go test ./test -run TestScenarios -count=2 -timeout 30m
--- a/catalog/fleet.go
+++ b/catalog/fleet.go
@@ -58,6 +58,9 @@
 	pendingRemovals map[string]time.Time
 	// graceUntil is the time until which the removal of an entry may be an effect of an outage.
 	graceUntil time.Time
+	// changes counts the changes of Endpoints and Leaving; view is the copy that View made last.
+	changes int64
+	view    FleetView
 }
 
 // NewFleet returns a fleet without endpoints.
@@ -77,12 +80,16 @@
 		return
 	}
 	delete(flt.pendingRemovals, edp.ID)
-	flt.Endpoints[edp.ID] = edp
+	if !edp.SameAs(&old) || now.Before(edp.WarmAt) || now.Before(old.WarmAt) {
+		flt.Endpoints[edp.ID] = edp
+		flt.changes++
+	}
 	switch {
 	case edp.State == StateDraining:
 		flt.recordLeaving(now, edp.ID, edp.StartedAt)
 	case !known || edp.StartedAt > old.StartedAt || old.State == StateDraining:
 		delete(flt.Leaving, edp.ID)
+		flt.changes++
 	}
 }
 
@@ -139,6 +146,7 @@
 	for id, mrk := range flt.Leaving {
 		if _, listed := flt.Endpoints[id]; !listed && now.Sub(mrk.At) > leavingRetention {
 			delete(flt.Leaving, id)
+			flt.changes++
 		}
 	}
 }
@@ -151,6 +159,7 @@
 func (flt *Fleet) recordLeaving(now time.Time, id string, bornAt int64) {
 	if mrk, known := flt.Leaving[id]; !known || mrk.StartedAt < bornAt {
 		flt.Leaving[id] = LeavingMark{At: now, StartedAt: bornAt}
+		flt.changes++
 	}
 }
 
@@ -159,16 +168,22 @@
 	bornAt := flt.Endpoints[id].StartedAt
 	delete(flt.pendingRemovals, id)
 	delete(flt.Endpoints, id)
+	flt.changes++
 	flt.recordLeaving(now, id, bornAt)
 }
 
-// View returns a copy that later changes to the fleet don't affect.
+// View returns a copy that later changes to the fleet don't affect; without a change it is the last one.
 func (flt *Fleet) View() FleetView {
-	return FleetView{Endpoints: maps.Clone(flt.Endpoints), Leaving: maps.Clone(flt.Leaving)}
+	if flt.view.Endpoints == nil || flt.view.Changes != flt.changes {
+		flt.view = FleetView{Changes: flt.changes, Endpoints: maps.Clone(flt.Endpoints), Leaving: maps.Clone(flt.Leaving)}
+	}
+	return flt.view
 }
 
 // FleetView is an immutable copy of a fleet.
 type FleetView struct {
+	// Changes is the number of changes that the fleet had seen.
+	Changes   int64
 	Endpoints map[string]Endpoint
 	Leaving   map[string]LeavingMark
 }
--- a/control/control.go
+++ b/control/control.go
@@ -25,8 +25,9 @@
 	// Catalog is nil until the first configuration has been received.
 	Catalog *catalog.Catalog
 	Fleet   catalog.FleetView
-	// Peers are the other daemons by name.
-	Peers map[string]Peer
+	// Peers are the other daemons by name; PeerChanges is the number of changes of them so far.
+	Peers       map[string]Peer
+	PeerChanges int64
 	// StoreReadAt is when this daemon, or a peer that shared its read, last read the store.
 	StoreReadAt time.Time
 }
@@ -42,12 +43,13 @@
 	Now    func() time.Time
 	// OnTick, if set, is called with the newest snapshot every tickInterval.
 	OnTick func(snp *Snapshot)
-	// OnLeaving, if set, is called for each endpoint that leaves whenever a snapshot is published, so repeatedly.
+	// OnLeaving, if set, is called for each endpoint that leaves after each change of the endpoints and every tickInterval.
 	OnLeaving func(id string)
 
 	catalog     *catalog.Catalog
 	fleet       *catalog.Fleet
 	peers       map[string]Peer
+	peerChanges int64
 	storeReadAt time.Time
 	storeLost   bool
 	// sources is who reported that an endpoint leaves, by id, until that is logged; without an entry it was the store.
@@ -92,6 +94,7 @@
 		case <-ticker.C:
 			ctl.fleet.Expire(ctl.Now())
 			ctl.publish()
+			ctl.remindLeaving(ctl.Snapshot())
 			if ctl.OnTick != nil {
 				ctl.OnTick(ctl.Snapshot())
 			}
@@ -101,8 +104,15 @@
 
 func (ctl *Control) publish() {
 	old := ctl.snapshot.Load()
-	snp := &Snapshot{Catalog: ctl.catalog, Fleet: ctl.fleet.View(), Peers: ctl.peers, StoreReadAt: ctl.storeReadAt}
+	snp := &Snapshot{Catalog: ctl.catalog, Fleet: ctl.fleet.View(), Peers: ctl.peers, PeerChanges: ctl.peerChanges, StoreReadAt: ctl.storeReadAt}
 	ctl.snapshot.Store(snp)
+	if snp.Fleet.Changes != old.Fleet.Changes {
+		ctl.announce(old, snp)
+	}
+}
+
+// announce logs the endpoints that were added or begin to leave, and calls OnLeaving.
+func (ctl *Control) announce(old, snp *Snapshot) {
 	for id := range snp.Fleet.Leaving {
 		_, known := old.Fleet.Leaving[id]
 		if !known {
@@ -113,10 +123,8 @@
 			delete(ctl.sources, id)
 			ctl.Logger.WithFields(logrus.Fields{"endpoint": id, "source": source, "listed": snp.has(id)}).Info("endpoint leaves")
 		}
-		if ctl.OnLeaving != nil {
-			ctl.OnLeaving(id)
-		}
 	}
+	ctl.remindLeaving(snp)
 	for id, edp := range snp.Fleet.Endpoints {
 		if !old.has(id) {
 			ctl.Logger.WithFields(logrus.Fields{"endpoint": id, "service": edp.Service, "address": edp.Address}).Debug("endpoint added")
@@ -132,6 +140,16 @@
 	return snp.Catalog.Version
 }
 
+// remindLeaving calls OnLeaving for each endpoint that leaves.
+func (ctl *Control) remindLeaving(snp *Snapshot) {
+	if ctl.OnLeaving == nil {
+		return
+	}
+	for id := range snp.Fleet.Leaving {
+		ctl.OnLeaving(id)
+	}
+}
+
 func (snp *Snapshot) has(id string) bool {
 	_, listed := snp.Fleet.Endpoints[id]
 	return listed
@@ -231,12 +249,19 @@
 
 // Apply adds or updates the daemons. It removes none: the back-off in noteAnswer covers daemons that have stopped.
 func (pel PeerList) Apply(_ time.Time, ctl *Control) {
-	peers := maps.Clone(ctl.peers)
+	var peers map[string]Peer
 	for name, per := range pel.Peers {
-		if peers[name] != per {
-			ctl.Logger.WithFields(logrus.Fields{"peer": name, "address": per.Address, "draining": per.Draining}).Info("peer added or changed")
+		if ctl.peers[name] == per {
+			continue
+		}
+		if peers == nil {
+			peers = maps.Clone(ctl.peers)
 		}
+		ctl.Logger.WithFields(logrus.Fields{"peer": name, "address": per.Address, "draining": per.Draining}).Info("peer added or changed")
 		peers[name] = per
 	}
-	ctl.peers = peers
+	if peers != nil {
+		ctl.peers = peers
+		ctl.peerChanges++
+	}
 }
--- a/dispatch/balancer_test.go
+++ b/dispatch/balancer_test.go
@@ -189,7 +189,7 @@
 	used := map[string]int{}
 	for engine := range 200 {
 		id := string(rune('A' + engine))
-		got, want := AssignedMembers(id, members, 3), AssignedMembers(id, other, 3)
+		got, want := NewAssignment(members).Assigned(id, 3), NewAssignment(other).Assigned(id, 3)
 		if len(got) != 3 {
 			t.Fatalf("got %d users, want 3", len(got))
 		}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -5,10 +5,13 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
 
@@ -20,12 +23,8 @@
 
 const (
 	exchangeMethod = "gateway.exchange"
-	// exchangeInterval is the interval of the rounds of gossip.
+	// exchangeInterval is the interval at which a daemon gossips with one neighbour after the other.
 	exchangeInterval = 400 * time.Millisecond
-	// exchangePeers is the number of random peers that a periodic round sends to.
-	exchangePeers = 3
-	// urgentPeers is the number of peers that a requested round sends to, which announces that this daemon drains.
-	urgentPeers = 16
 	// exchangeTimeout limits one call to a peer.
 	exchangeTimeout = 600 * time.Millisecond
 	// leavingGossipTime is how long the leaving of an endpoint is included in messages.
@@ -47,12 +46,16 @@
 	Crashes []Crash `json:"crashes,omitempty"`
 	// Leaving has the start times of endpoints that leave, by id.
 	Leaving map[string]int64 `json:"leaving,omitempty"`
+	// LeavingSum is a hash of the endpoints that leave. Gossip carries it in place of Leaving.
+	LeavingSum uint64 `json:"leavingSum,omitempty,string"`
 }
 
-// messageReply has the receiver's configuration version and the endpoints that leave and were not in the message.
+// messageReply has the receiver's configuration version and, if it knows of other leaving endpoints than the sender, all
+// that it knows of.
 type messageReply struct {
-	Version int64            `json:"version"`
-	Leaving map[string]int64 `json:"leaving,omitempty"`
+	Version        int64            `json:"version"`
+	LeavingDiffers bool             `json:"leavingDiffers,omitempty"`
+	Leaving        map[string]int64 `json:"leaving,omitempty"`
 }
 
 // Crash is the news that a request crashed an endpoint while it ran there.
@@ -90,6 +93,9 @@
 	Parse func(data []byte) (*catalog.Catalog, error)
 	Now   func() time.Time
 
+	// broadcasts are the handlers of messages that are broadcast, by method.
+	broadcasts map[string]peer.Handler
+
 	roundRequests chan struct{}
 	work          chan struct{}
 	parts         chan *TopicPart
@@ -101,17 +107,22 @@
 	mutex sync.Mutex
 	// changed are the engines for which this daemon's work has changed since it was last sent.
 	changed map[string]bool
-	// failures are the peers whose last call failed, by address.
-	failures map[string]*peerFailure
+	// failures are the peers whose last call failed, by address; failureChanges counts changes of which these are.
+	failures       map[string]*peerFailure
+	failureChanges int64
+	lastRoster     *roster
 }
 
 // New returns an exchange that needs its exported fields set before Run.
 func New() *Exchange {
-	return &Exchange{Client: peer.NewClient(), Now: time.Now, roundRequests: make(chan struct{}, 1), work: make(chan struct{}, 1),
-		parts: make(chan *TopicPart, feedBuffer), newer: make(chan newerVersion, 1), Feeds: map[string]*Feed{}, failures: map[string]*peerFailure{}, changed: map[string]bool{}}
+	return &Exchange{
+		Client: peer.NewClient(), Now: time.Now, Feeds: map[string]*Feed{}, broadcasts: map[string]peer.Handler{},
+		roundRequests: make(chan struct{}, 1), work: make(chan struct{}, 1), parts: make(chan *TopicPart, feedBuffer),
+		newer: make(chan newerVersion, 1), changed: map[string]bool{}, failures: map[string]*peerFailure{},
+	}
 }
 
-// Register adds the handlers of the gateway's methods to a peer server.
+// Register adds the handlers of the exchange's methods to a peer server.
 func (exc *Exchange) Register(srv *peer.Server) {
 	srv.Handlers[exchangeMethod] = answer(func(ctx context.Context, msg *message) any {
 		return exc.receive(ctx, msg)
@@ -120,21 +131,31 @@
 		return exc.answerConfiguration(msg)
 	})
 	srv.Handlers[workMethod] = answer(func(_ context.Context, msg *message) any {
+		exc.heard(msg.Name)
 		exc.Requests.SetPeerUsage(exc.Now(), msg.Name, msg.Usage)
 		return nil
 	})
-	srv.Handlers[leavingMethod] = answer(func(ctx context.Context, msg *message) any {
+	exc.broadcasts[leavingMethod] = answer(func(ctx context.Context, msg *message) any {
 		exc.Control.Send(ctx, control.Leaving{BornAt: msg.Leaving, Source: msg.Name})
 		return nil
 	})
-	srv.Handlers[crashMethod] = answer(func(_ context.Context, found *Crash) any {
+	exc.broadcasts[crashMethod] = answer(func(_ context.Context, found *Crash) any {
 		exc.Requests.NoteCrash(*found)
 		return nil
 	})
-	srv.Handlers[topicMethod] = answer(func(_ context.Context, part *TopicPart) any {
+	exc.broadcasts[topicMethod] = answer(func(_ context.Context, part *TopicPart) any {
 		exc.receiveTopic(part)
 		return nil
 	})
+	// Leaving endpoints are also told to a single peer whose gossip shows that it does not know of them.
+	srv.Handlers[leavingMethod] = exc.broadcasts[leavingMethod]
+	srv.Handlers[broadcastMethod] = func(ctx context.Context, params json.RawMessage) (any, error) {
+		var msg broadcast
+		if err := json.Unmarshal(params, &msg); err != nil {
+			return nil, trace.BadParameter("parameters are not valid: %v", err)
+		}
+		return exc.receiveBroadcast(ctx, &msg)
+	}
 }
 
 // answer returns a handler that decodes the parameters of a method.
@@ -148,7 +169,7 @@
 	}
 }
 
-// RequestRound makes Run send a round of messages now, to more peers than a periodic one; it does not block.
+// RequestRound makes Run gossip with all neighbours now; it does not block.
 func (exc *Exchange) RequestRound() {
 	select {
 	case exc.roundRequests <- struct{}{}:
@@ -156,38 +177,46 @@
 	}
 }
 
-// Run sends rounds of messages until the context is cancelled.
+// Run gossips until the context is cancelled.
 func (exc *Exchange) Run(ctx context.Context) {
 	ticker := time.NewTicker(exchangeInterval)
 	defer ticker.Stop()
-	for {
-		count := exchangePeers
+	for turn := rand.Int(); ; turn++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			neighbours := exc.roster().ring.neighbours()
+			if len(neighbours) > 0 {
+				exc.gossip(ctx, neighbours[turn%len(neighbours)])
+			}
+			if address, ok := exc.silentPeer(exc.Now()); ok {
+				exc.gossip(ctx, address)
+			}
 		case <-exc.roundRequests:
-			count = urgentPeers
+			exc.gossip(ctx, exc.roster().ring.neighbours()...)
 		}
-		exc.round(ctx, count)
 	}
 }
 
-func (exc *Exchange) round(ctx context.Context, count int) {
+// gossip sends this daemon's state to peers without waiting for their replies.
+func (exc *Exchange) gossip(ctx context.Context, addresses ...string) {
 	snp := exc.Control.Snapshot()
-	msg := exc.compose(snp)
-	for _, address := range exc.addresses(count) {
-		go exc.send(ctx, address, msg)
-	}
-}
-
-func (exc *Exchange) compose(snp *control.Snapshot) *message {
-	return &message{
+	leaving := exc.leaving(snp)
+	msg := &message{
 		Name: exc.Name, Address: exc.Address, FailureDomain: exc.FailureDomain, Draining: exc.Requests.Draining(),
-		Crashes: exc.Requests.Crashes(exc.Now()), Version: snp.Version(), Usage: exc.Requests.LocalUsage(), Leaving: exc.leaving(snp),
+		Crashes: exc.Requests.Crashes(exc.Now()), Version: snp.Version(), LeavingSum: leavingSum(leaving),
+	}
+	// In a larger fleet, a neighbour rarely uses the same engines.
+	if len(exc.Members()) <= engineUsers {
+		msg.Usage = exc.Requests.LocalUsage()
+	}
+	for _, address := range addresses {
+		go exc.send(ctx, address, msg, leaving)
 	}
 }
 
+// leaving returns the endpoints that this daemon has learnt to be leaving in the last leavingGossipTime.
 func (exc *Exchange) leaving(snp *control.Snapshot) map[string]int64 {
 	bornAt := map[string]int64{}
 	for id, mrk := range snp.Fleet.Leaving {
@@ -198,7 +227,16 @@
 	return bornAt
 }
 
-func (exc *Exchange) send(ctx context.Context, address string, msg *message) {
+// leavingSum returns a hash that does not depend on the order of the endpoints.
+func leavingSum(bornAt map[string]int64) uint64 {
+	var sum uint64
+	for id, at := range bornAt {
+		sum += xxhash.Sum64String(id + strconv.FormatInt(at, 10))
+	}
+	return sum
+}
+
+func (exc *Exchange) send(ctx context.Context, address string, msg *message, leaving map[string]int64) {
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var reply messageReply
@@ -207,13 +245,30 @@
 	if err != nil {
 		return
 	}
-	if len(reply.Leaving) > 0 {
-		exc.Control.Send(ctx, control.Leaving{BornAt: reply.Leaving, Source: address})
+	if reply.LeavingDiffers {
+		exc.reconcileLeaving(ctx, address, leaving, reply.Leaving)
 	}
 	exc.noticeVersion(reply.Version, address)
 }
 
+// reconcileLeaving applies the leaving endpoints that a peer knows of, and sends it those that it lacks.
+func (exc *Exchange) reconcileLeaving(ctx context.Context, address string, own, theirs map[string]int64) {
+	if len(theirs) > 0 {
+		exc.Control.Send(ctx, control.Leaving{BornAt: theirs, Source: address})
+	}
+	missing := map[string]int64{}
+	for id, at := range own {
+		if known, ok := theirs[id]; !ok || known < at {
+			missing[id] = at
+		}
+	}
+	if len(missing) > 0 {
+		exc.notify(ctx, address, leavingMethod, &message{Name: exc.Name, Leaving: missing})
+	}
+}
+
 func (exc *Exchange) receive(ctx context.Context, msg *message) *messageReply {
+	exc.heard(msg.Name)
 	exc.Requests.SetPeerUsage(exc.Now(), msg.Name, msg.Usage)
 	for _, found := range msg.Crashes {
 		exc.Requests.NoteCrash(found)
@@ -223,13 +278,10 @@
 	if per != snp.Peers[msg.Name] {
 		exc.Control.Send(ctx, control.PeerList{Peers: map[string]control.Peer{msg.Name: per}})
 	}
-	if len(msg.Leaving) > 0 {
-		exc.Control.Send(ctx, control.Leaving{BornAt: msg.Leaving, Source: msg.Name})
-	}
-	reply := &messageReply{Version: snp.Version(), Leaving: exc.leaving(snp)}
-	for id := range msg.Leaving {
-		delete(reply.Leaving, id)
-	}
 	exc.noticeVersion(msg.Version, msg.Address)
+	reply := &messageReply{Version: snp.Version()}
+	if leaving := exc.leaving(snp); leavingSum(leaving) != msg.LeavingSum {
+		reply.LeavingDiffers, reply.Leaving = true, leaving
+	}
 	return reply
 }
--- a/exchange/feed.go
+++ b/exchange/feed.go
@@ -10,18 +10,25 @@
 	"github.com/sirupsen/logrus"
 
 	"papayacroft/control"
+	"papayacroft/dispatch"
 )
 
 const (
 	// unread is the offset of a topic that must be read whole: at the start, and after records were trimmed.
 	unread = int64(-1)
-	// takeoverDelay is the extra time that a daemon allows a peer's next part to arrive before it reads the topic itself,
-	// and takeoverJitter is the maximum of a random delay on top, so that not all daemons do so at once.
-	takeoverDelay  = 150 * time.Millisecond
+	// takeoverDelay is the extra time that a daemon allows a peer's next part to arrive before it reads the topic itself.
+	takeoverDelay = 150 * time.Millisecond
+	// successorDelay is the time that each of the first successors of a topic's reader leaves to the one before it. The
+	// other daemons wait for all successors and for a random time up to takeoverJitter.
+	successorDelay = 40 * time.Millisecond
+	successors     = 6
 	takeoverJitter = 300 * time.Millisecond
 	// emptyInterval is the minimum time since the last part before a part without records is shared, which shows the
 	// peers that this daemon still reads the topic.
-	emptyInterval = 300 * time.Millisecond
+	emptyInterval = 500 * time.Millisecond
+	// settleTime is the time from a daemon's first reading of a topic until it considers reading on. All daemons may start
+	// at the same time: meanwhile they learn of each other, and only the first in succession reads.
+	settleTime = 500 * time.Millisecond
 	// minFeedPause and maxFeedPause limit the exponential back-off after failed reads.
 	minFeedPause = 100 * time.Millisecond
 	maxFeedPause = 800 * time.Millisecond
@@ -56,10 +63,6 @@
 	From    int64    `json:"from"`
 	Next    int64    `json:"next"`
 	Records []Record `json:"records,omitempty"`
-	// Forward are the addresses of the peers to which the receiver forwards the part.
-	Forward []string `json:"forward,omitempty"`
-	// First is true only at the daemon that read the part; it makes that daemon choose the addressees.
-	First bool `json:"-"`
 }
 
 // IsTrimmed reports whether a read failed because the store had already deleted records from its offset on.
@@ -68,7 +71,8 @@
 }
 
 // Feed follows one topic. Calls to the store are rate-limited and billed, so one daemon reads the topic and shares what
-// it read with its peers. A peer reads the topic itself only if no part has arrived for a while or if it missed one.
+// it read with its peers. A peer reads the topic itself only if no part has arrived for a while, in an order of
+// succession that all daemons derive alike, or once if it missed a part.
 type Feed struct {
 	// Name is this daemon's name.
 	Name  string
@@ -83,8 +87,16 @@
 	Apply func(ctx context.Context, records []Record, whole bool) []Record
 	// Share sends a part to the peers; it must not block.
 	Share func(part *TopicPart)
+	// Rank returns how many answering daemons precede this one in the succession of the topic's reader.
+	Rank func(topic string) int
 
 	next int64
+	// settling is true from the first reading until the daemon's place in the succession is determined.
+	settling bool
+	// started is true from the first reading on.
+	started bool
+	// behind is true if a part was missed, so that the next reading is only for this daemon.
+	behind bool
 	// readAt is when this daemon last read the topic itself.
 	readAt time.Time
 	// shared is the offset at which the next part that this daemon shares begins; sharedAt is when it last shared one.
@@ -101,7 +113,7 @@
 
 // NewFeed returns a feed that needs its exported fields set before Run.
 func NewFeed() *Feed {
-	return &Feed{Now: time.Now, next: unread, pause: minFeedPause, parts: make(chan *TopicPart, feedBuffer)}
+	return &Feed{Now: time.Now, Rank: func(string) int { return 0 }, next: unread, pause: minFeedPause, parts: make(chan *TopicPart, feedBuffer)}
 }
 
 // Enqueue queues a part that a peer read, to be applied by Run. It does not block: if the queue is full, it drops the part.
@@ -129,7 +141,12 @@
 			fed.applyPart(ctx, part)
 		case <-tmr.C:
 			fed.applyQueued(ctx)
-			if !fed.Now().Before(fed.due) {
+			now := fed.Now()
+			switch {
+			case now.Before(fed.due):
+			case fed.settling:
+				fed.settling, fed.due = false, now.Add(fed.succession())
+			default:
 				fed.read(ctx)
 			}
 		}
@@ -149,10 +166,29 @@
 	}
 }
 
+// succession returns how long this daemon waits for the daemons that precede it in the succession of the reader.
+func (fed *Feed) succession() time.Duration {
+	rank := fed.Rank(fed.Topic)
+	if rank < successors {
+		return time.Duration(rank) * successorDelay
+	}
+	return successors*successorDelay + time.Duration(rand.Int64N(int64(takeoverJitter)))
+}
+
+// silence is the time without a part after which the reader of the topic counts as gone.
+func (fed *Feed) silence() time.Duration {
+	return fed.Wait + fed.Interval + takeoverDelay
+}
+
 // read reads the topic from the store, applies the records and shares them with the peers.
 func (fed *Feed) read(ctx context.Context) {
 	from := fed.next
-	whole := from == unread
+	whole, behind := from == unread, fed.behind
+	fed.behind = false
+	if !whole && !behind && fed.Now().Sub(fed.readAt) > fed.silence() {
+		// The peers need not wait for the end of the first reading to know that this daemon has taken over.
+		fed.Share(&TopicPart{Topic: fed.Topic, Reader: fed.Name, From: fed.shared, Next: fed.shared})
+	}
 	var records []Record
 	var next int64
 	var err error
@@ -170,23 +206,31 @@
 		fed.next, fed.due = unread, now
 		return
 	case err != nil:
+		fed.behind = behind
 		fed.Control.Send(ctx, control.StoreRead{Err: err})
 		fed.due = now.Add(spread(fed.pause))
 		fed.pause = min(2*fed.pause, maxFeedPause)
 		return
 	}
-	fed.pause, fed.next, fed.readAt, fed.due = minFeedPause, next, now, now.Add(fed.Interval)
+	fed.pause, fed.next, fed.due = minFeedPause, next, now.Add(fed.Interval)
 	fed.Control.Send(ctx, control.StoreRead{})
 	if whole || len(records) > 0 {
 		fed.pending.Add(1)
 		records = fed.Apply(ctx, records, whole)
 		fed.pending.Add(-1)
 	}
-	if whole {
-		fed.shared = next
-		return
+	switch {
+	case whole:
+		fed.shared, fed.settling = next, !fed.started
+		if fed.settling {
+			fed.started, fed.due = true, now.Add(settleTime)
+		}
+	case behind:
+		fed.shared, fed.due = next, now.Add(fed.silence()+fed.succession())
+	default:
+		fed.readAt = now
+		fed.share(now, next, records)
 	}
-	fed.share(now, next, records)
 }
 
 // share sends what was read to the peers: at once if there are records to share, otherwise at most every
@@ -195,7 +239,7 @@
 	if len(records) == 0 && now.Sub(fed.sharedAt) < emptyInterval {
 		return
 	}
-	fed.Share(&TopicPart{Topic: fed.Topic, Reader: fed.Name, From: fed.shared, Next: next, Records: records, First: true})
+	fed.Share(&TopicPart{Topic: fed.Topic, Reader: fed.Name, From: fed.shared, Next: next, Records: records})
 	fed.shared, fed.sharedAt = next, now
 }
 
@@ -220,7 +264,7 @@
 		// even if the store can't be read to close the gap.
 		fed.Apply(ctx, records, false)
 		if fed.pause == minFeedPause {
-			fed.due = now.Add(gapPause)
+			fed.due, fed.settling, fed.behind = now.Add(gapPause), false, !fed.reads(now)
 		}
 		return
 	}
@@ -230,12 +274,17 @@
 	}
 	fed.pause = minFeedPause
 	fed.Control.Send(ctx, control.StoreRead{})
-	// If several daemons read the topic, only the one with the lowest name continues.
-	if reads := now.Sub(fed.readAt) < fed.Wait+fed.Interval+takeoverDelay; !reads || part.Reader < fed.Name {
-		fed.due = now.Add(fed.Wait + fed.Interval + takeoverDelay + time.Duration(rand.Int64N(int64(takeoverJitter))))
+	// If several daemons read the topic, only the first in succession continues.
+	if !fed.reads(now) || dispatch.Precedes(fed.Topic, part.Reader, fed.Name) {
+		fed.settling, fed.due = false, now.Add(fed.silence()+fed.succession())
 	}
 }
 
+// reads reports whether this daemon reads the topic for all.
+func (fed *Feed) reads(now time.Time) bool {
+	return now.Sub(fed.readAt) < fed.silence()
+}
+
 // spread adds jitter to a back-off, so that daemons don't call the store all at once.
 func spread(pause time.Duration) time.Duration {
 	return time.Duration((0.7 + 0.6*rand.Float64()) * float64(pause))
--- a/exchange/feed_test.go
+++ b/exchange/feed_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"papayacroft/control"
+	"papayacroft/dispatch"
 	"papayacroft/exchange"
 )
 
@@ -18,7 +20,9 @@
 
 // sharedTopicReader is an empty topic that a second daemon reads too: a part from that daemon arrives during each read.
 type sharedTopicReader struct {
-	feed  *exchange.Feed
+	feed *exchange.Feed
+	// peer is the name of the second daemon.
+	peer  string
 	reads atomic.Int64
 }
 
@@ -30,32 +34,38 @@
 // Read returns no records; meanwhile, a part from the other daemon arrives.
 func (rdr *sharedTopicReader) Read(_ context.Context, topic string, from int64, _ time.Duration) ([]exchange.Record, int64, error) {
 	rdr.reads.Add(1)
-	rdr.feed.Enqueue(&exchange.TopicPart{Topic: topic, Reader: "a", From: from, Next: from})
+	rdr.feed.Enqueue(&exchange.TopicPart{Topic: topic, Reader: rdr.peer, From: from, Next: from})
 	return nil, from, nil
 }
 
-// A daemon must stop reading a topic once it receives a part from a peer with a lower name that reads it: calls to the
-// store are rate-limited and billed. When a part arrives during a read, the part and the timer of the next read are ready
-// at the same time, and a feed that selects between them at random reads again half of the time.
+// A daemon must stop reading a topic once it receives a part from a peer that reads it and precedes it in the succession:
+// calls to the store are rate-limited and billed. When a part arrives during a read, the part and the timer of the next
+// read are ready at the same time, and a feed that selects between them at random reads again half of the time.
 func TestFeedLeavesReadingToAnother(t *testing.T) {
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	readers := make([]*sharedTopicReader, feeds)
-	for i := range readers {
-		fed := exchange.NewFeed()
-		ctl := control.New()
-		ctl.Logger = logrus.New()
-		readers[i] = &sharedTopicReader{feed: fed}
-		fed.Name, fed.Topic, fed.Wait, fed.Reader, fed.Control, fed.Logger = "b", "topic", time.Minute, readers[i], ctl, ctl.Logger
-		fed.Apply = func(context.Context, []exchange.Record, bool) []exchange.Record { return nil }
-		fed.Share = func(*exchange.TopicPart) {}
-		go ctl.Run(ctx)
-		go fed.Run(ctx)
-	}
-	time.Sleep(200 * time.Millisecond)
-	for i, rdr := range readers {
-		if got, want := rdr.reads.Load(), int64(1); got != want {
-			t.Errorf("feed %d: got %d reads, want %d", i, got, want)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		first, second := "a", "b"
+		if dispatch.Precedes("topic", second, first) {
+			first, second = second, first
 		}
-	}
+		readers := make([]*sharedTopicReader, feeds)
+		for i := range readers {
+			fed := exchange.NewFeed()
+			ctl := control.New()
+			ctl.Logger = logrus.New()
+			readers[i] = &sharedTopicReader{feed: fed, peer: first}
+			fed.Name, fed.Topic, fed.Wait, fed.Reader, fed.Control, fed.Logger = second, "topic", time.Minute, readers[i], ctl, ctl.Logger
+			fed.Apply = func(context.Context, []exchange.Record, bool) []exchange.Record { return nil }
+			fed.Share = func(*exchange.TopicPart) {}
+			go ctl.Run(ctx)
+			go fed.Run(ctx)
+		}
+		time.Sleep(2 * time.Second)
+		for i, rdr := range readers {
+			if got, want := rdr.reads.Load(), int64(1); got != want {
+				t.Errorf("feed %d: got %d reads, want %d", i, got, want)
+			}
+		}
+	})
 }
--- /dev/null
+++ b/exchange/fleet_test.go
@@ -0,0 +1,422 @@
+//go:build !race
+
+package exchange_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.yaml.in/yaml/v3"
+
+	"papayacroft/control"
+	"papayacroft/dispatch"
+	"papayacroft/exchange"
+	"papayacroft/peer"
+	"papayacroft/platform"
+)
+
+const (
+	topicOperator  = "keyed.op"
+	topicEndpoints = "keyed.servers"
+	// startSpread is the time within which all daemons start.
+	startSpread = 300 * time.Millisecond
+	// heartbeat is the interval at which an endpoint writes its entry.
+	heartbeat = 1200 * time.Millisecond
+	// workInterval is the mean time between two changes of one daemon's work.
+	workInterval = 800 * time.Millisecond
+	checkPoll    = 10 * time.Millisecond
+	// watchPoll is the interval at which a daemon's version is checked.
+	watchPoll = 50 * time.Millisecond
+)
+
+// fleetStep is one event of a case; only one of its actions is set.
+type fleetStep struct {
+	At time.Duration
+	// For is how long Freeze and TurnAway last.
+	For time.Duration
+	// Publish is the version of a new configuration.
+	Publish int64
+	// Kill, Freeze and TurnAway affect daemons: "reader" is the reader of the endpoints, "third" every third daemon.
+	Kill, Freeze, TurnAway string
+	// Add is the number of endpoints that start, Remove the share of those present whose entries are removed.
+	Add    int
+	Remove float64
+}
+
+type fleetCase struct {
+	Name, Guards string
+	// Daemons are the sizes at which the case is played.
+	Daemons []int
+	// EndpointsPerDaemon is the number of endpoints for each daemon.
+	EndpointsPerDaemon float64
+	Until              time.Duration
+	// MeasureFrom is when the counting of messages and connections begins.
+	MeasureFrom time.Duration
+	Steps       []fleetStep
+	Want        fleetBounds
+}
+
+// fleetBounds are the bounds of a case; a zero bound is not checked.
+type fleetBounds struct {
+	// InForce and Known are the times until each reachable daemon has a published version and knows of removed endpoints.
+	InForce, Known time.Duration
+	// Growth is the greatest ratio between the largest and the smallest size of messages and of bytes a daemon.
+	Growth float64
+	// CallsPerDaemon is the number of calls to the store that each further daemon may add.
+	CallsPerDaemon float64
+	// Connections requires that a daemon keeps connections only to the users of its engines, its neighbours and relays.
+	Connections bool
+}
+
+// fleetResult is what was measured at one size.
+type fleetResult struct {
+	daemons, endpoints int
+	messages, bytes    float64
+	connections, calls float64
+	inForce, known     time.Duration
+}
+
+// connectionBound returns the mean number of connections if each daemon had one in each direction to the other users of
+// its engines, to neighbours at distances 1, 2, 4 and so on, and to the relays of three topics.
+func (res *fleetResult) connectionBound() float64 {
+	const users, relays = 16, 3 * 8
+	engines := min(1, users/float64(res.daemons)) * float64(res.endpoints)
+	return 2 * min(float64(res.daemons-1), engines*(users-1)+math.Ceil(math.Log2(float64(res.daemons)))+relays)
+}
+
+// Each case of testdata/fleet.yaml plays daemons with the real exchange, feeds and control goroutine in simulated time,
+// over a network and a store in memory, and checks what each daemon sends and how soon all know.
+func TestFleet(t *testing.T) {
+	data, err := os.ReadFile("testdata/fleet.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []fleetCase
+	if err := yaml.Unmarshal(data, &cases); err != nil || len(cases) == 0 {
+		t.Fatalf("got %d cases, error %v; want some", len(cases), err)
+	}
+	for _, cse := range cases {
+		t.Run(cse.Name, func(t *testing.T) {
+			t.Log(cse.Guards)
+			var results []fleetResult
+			for _, daemons := range cse.Daemons {
+				synctest.Test(t, func(t *testing.T) {
+					results = append(results, newFleet(t, &cse, daemons).play())
+				})
+			}
+			cse.Want.check(t, results)
+		})
+	}
+}
+
+func (bnd *fleetBounds) check(t *testing.T, results []fleetResult) {
+	for _, res := range results {
+		t.Logf("%d daemons: %.1f messages/s, %.0f B/s, %.1f connections a daemon, %.0f calls to the store, in force after %v, removal known after %v",
+			res.daemons, res.messages, res.bytes, res.connections, res.calls, res.inForce, res.known)
+		if bnd.InForce > 0 && res.inForce > bnd.InForce {
+			t.Errorf("%d daemons: got a version in force after %v, want %v at most", res.daemons, res.inForce, bnd.InForce)
+		}
+		if bnd.Known > 0 && res.known > bnd.Known {
+			t.Errorf("%d daemons: got a removed endpoint known after %v, want %v at most", res.daemons, res.known, bnd.Known)
+		}
+		if most := res.connectionBound(); bnd.Connections && res.connections > most {
+			t.Errorf("%d daemons: got %.1f connections a daemon, want %.1f at most", res.daemons, res.connections, most)
+		}
+	}
+	first, last := results[0], results[len(results)-1]
+	if got := max(last.messages/first.messages, last.bytes/first.bytes); bnd.Growth > 0 && got > bnd.Growth {
+		t.Errorf("got %.2f times the messages or bytes a daemon at %d daemons, want %.2f at most", got, last.daemons, bnd.Growth)
+	}
+	if added := float64(last.daemons - first.daemons); bnd.CallsPerDaemon > 0 && added > 0 {
+		if got := (last.calls - first.calls) / added; got > bnd.CallsPerDaemon {
+			t.Errorf("got %.2f calls to the store for each further daemon, want %.2f at most", got, bnd.CallsPerDaemon)
+		}
+	}
+}
+
+// fleet is one play of a case.
+type fleet struct {
+	t       *testing.T
+	cse     *fleetCase
+	store   *simStore
+	network simNet
+	daemons []*fleetDaemon
+	ctx     context.Context
+
+	mutex     sync.Mutex
+	endpoints []string
+	// removed are the times of removal of endpoints whose removal some daemon does not know of yet.
+	removed map[string]time.Time
+	result  fleetResult
+}
+
+// fleetDaemon is one simulated daemon.
+type fleetDaemon struct {
+	*simNode
+	*exchange.Exchange
+	version int64
+	stop    context.CancelFunc
+}
+
+func newFleet(t *testing.T, cse *fleetCase, daemons int) *fleet {
+	flt := &fleet{t: t, cse: cse, store: newSimStore(), network: simNet{}, removed: map[string]time.Time{}}
+	flt.result.daemons = daemons
+	for i := range daemons {
+		nod := newSimNode(fmt.Sprintf("10.0.%d.%d:7200", i/250, i%250))
+		flt.network[nod.address] = nod
+		flt.daemons = append(flt.daemons, &fleetDaemon{simNode: nod})
+	}
+	return flt
+}
+
+// play runs the daemons and the case's steps and returns what it measured.
+func (flt *fleet) play() fleetResult {
+	ctx, stop := context.WithCancel(flt.t.Context())
+	flt.ctx = ctx
+	var grp sync.WaitGroup
+	defer grp.Wait()
+	defer stop()
+	flt.publish(1)
+	flt.add(int(flt.cse.EndpointsPerDaemon * float64(len(flt.daemons))))
+	grp.Go(flt.beat)
+	began := time.Now()
+	for i, dmn := range flt.daemons {
+		flt.start(&grp, dmn, fmt.Sprintf("front-%d", i))
+	}
+	for _, stp := range flt.cse.Steps {
+		time.Sleep(time.Until(began.Add(stp.At)))
+		grp.Go(func() { flt.apply(&stp) })
+	}
+	time.Sleep(time.Until(began.Add(flt.cse.MeasureFrom)))
+	messages, bytes := flt.traffic()
+	span := flt.cse.Until - flt.cse.MeasureFrom
+	time.Sleep(span)
+	moreMessages, moreBytes := flt.traffic()
+	count := float64(len(flt.daemons))
+	flt.result.messages = float64(moreMessages-messages) / span.Seconds() / count
+	flt.result.bytes = float64(moreBytes-bytes) / span.Seconds() / count
+	for _, dmn := range flt.daemons {
+		flt.result.connections += float64(dmn.connections()) / count
+		flt.result.calls += float64(dmn.calls.Load())
+	}
+	flt.result.endpoints = len(flt.endpoints)
+	for _, dmn := range flt.daemons {
+		dmn.kill()
+	}
+	flt.mutex.Lock()
+	defer flt.mutex.Unlock()
+	return flt.result
+}
+
+// start runs one daemon's exchange.
+func (flt *fleet) start(grp *sync.WaitGroup, dmn *fleetDaemon, name string) {
+	ctx, cancel := context.WithCancel(flt.ctx)
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	ctl := control.New()
+	ctl.Logger = logger
+	exc := exchange.New()
+	exc.Name, exc.Address, exc.FailureDomain, exc.Control, exc.Logger = name, dmn.address, "a", ctl, logger
+	exc.Requests, exc.Parse, exc.Client.Dial = idleRequests{}, platform.ParseCatalog, flt.network.dialer(dmn.simNode)
+	ctl.OnTick = exc.ShareEngines
+	dmn.Exchange, dmn.stop = exc, cancel
+	fol := platform.NewFollower(&simClient{store: flt.store, node: dmn.simNode})
+	fol.Control, fol.Exchange, fol.Logger = ctl, exc, logger
+	fol.Name, fol.PeerAddress, fol.FailureDomain = name, dmn.address, "a"
+	peers := peer.NewServer()
+	peers.Logger = logger
+	tasks := append(fol.Tasks(), ctl.Run, exc.Run, exc.RunNotices, exc.RunFetch, dmn.work)
+	exc.Register(peers)
+	delay := time.Duration(rand.Int64N(int64(startSpread)))
+	grp.Go(func() {
+		time.Sleep(delay)
+		for _, tsk := range tasks {
+			grp.Go(func() { tsk(ctx) })
+		}
+		_ = peers.Serve(ctx, dmn.simNode)
+	})
+	grp.Go(func() { flt.watch(dmn) })
+}
+
+// work changes the daemon's work at engines that it uses.
+func (dmn *fleetDaemon) work(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-time.After(time.Duration(rand.Int64N(int64(2 * workInterval)))):
+		case <-ctx.Done():
+		}
+		for id := range dmn.OwnEngines() {
+			dmn.WorkChanged(id)
+			break
+		}
+	}
+}
+
+// watch checks that the daemon's configuration never goes back.
+func (flt *fleet) watch(dmn *fleetDaemon) {
+	for flt.ctx.Err() == nil {
+		version := dmn.Control.Snapshot().Version()
+		if version < dmn.version {
+			flt.t.Errorf("%s: got version %d after %d, want none before it", dmn.address, version, dmn.version)
+		}
+		dmn.version = version
+		time.Sleep(watchPoll)
+	}
+}
+
+// beat writes the entries of the endpoints at their interval.
+func (flt *fleet) beat() {
+	for number := 0; flt.ctx.Err() == nil; number++ {
+		flt.mutex.Lock()
+		count := len(flt.endpoints)
+		id := flt.endpoints[number%count]
+		flt.mutex.Unlock()
+		flt.store.put(topicEndpoints, id, entry(id))
+		time.Sleep(heartbeat / time.Duration(count))
+	}
+}
+
+func entry(id string) []byte {
+	return fmt.Appendf(nil, `{"service":"pool","address":"10.9.0.1:80","zone":"a","slots":24,"state":"ready","coldLeftMs":0,"sequence":1,"born":%d,"id":%q}`, 1000, id)
+}
+
+func (flt *fleet) apply(stp *fleetStep) {
+	switch {
+	case stp.Publish > 0:
+		flt.publish(stp.Publish)
+		flt.awaitVersion(stp.Publish)
+	case stp.Kill != "":
+		for _, dmn := range flt.chosen(stp.Kill) {
+			dmn.stop()
+			dmn.kill()
+		}
+	case stp.Freeze != "":
+		frozen := flt.chosen(stp.Freeze)
+		for _, dmn := range frozen {
+			dmn.freeze()
+		}
+		time.Sleep(stp.For)
+		for _, dmn := range frozen {
+			dmn.thaw()
+		}
+	case stp.TurnAway != "":
+		away := flt.chosen(stp.TurnAway)
+		for _, dmn := range away {
+			dmn.setTurnedAway(true)
+		}
+		time.Sleep(stp.For)
+		for _, dmn := range away {
+			dmn.setTurnedAway(false)
+		}
+	case stp.Add > 0:
+		flt.add(stp.Add)
+	case stp.Remove > 0:
+		flt.remove(stp.Remove)
+	}
+}
+
+// chosen returns the daemons that a step names.
+func (flt *fleet) chosen(which string) []*fleetDaemon {
+	var all []*fleetDaemon
+	for i, dmn := range flt.daemons {
+		if which == "third" && i%3 == 0 || which == "reader" && dmn.Rank(topicEndpoints) == 0 || which == "relay" && dmn.Rank(topicOperator) == 0 {
+			all = append(all, dmn)
+		}
+	}
+	return all
+}
+
+func (flt *fleet) publish(version int64) {
+	flt.store.put(topicOperator, "config", fmt.Appendf(nil,
+		`{"version":%d,"services":[{"name":"pool","engine":{"slots":24,"kvCapacityTokens":33661,"moves":true}}]}`, version))
+}
+
+// awaitVersion records the time until all daemons that are alive and not frozen have the version.
+func (flt *fleet) awaitVersion(version int64) {
+	began := time.Now()
+	flt.await(func(dmn *fleetDaemon) bool { return dmn.Control.Snapshot().Version() >= version })
+	flt.mutex.Lock()
+	defer flt.mutex.Unlock()
+	flt.result.inForce = max(flt.result.inForce, time.Since(began))
+}
+
+// await waits until a condition holds at all daemons that are alive and not frozen, or until the case ends.
+func (flt *fleet) await(holds func(dmn *fleetDaemon) bool) {
+	for _, dmn := range flt.daemons {
+		for flt.ctx.Err() == nil && dmn.isServing() && !holds(dmn) {
+			time.Sleep(checkPoll)
+		}
+	}
+}
+
+func (nod *simNode) isServing() bool {
+	nod.mutex.Lock()
+	defer nod.mutex.Unlock()
+	return !nod.dead && nod.thawed == nil
+}
+
+func (flt *fleet) add(count int) {
+	flt.mutex.Lock()
+	defer flt.mutex.Unlock()
+	for range count {
+		flt.endpoints = append(flt.endpoints, fmt.Sprintf("i-%08x", rand.Uint32()))
+	}
+	for _, id := range flt.endpoints[len(flt.endpoints)-count:] {
+		flt.store.put(topicEndpoints, id, entry(id))
+	}
+}
+
+// remove removes the entries of a share of the endpoints, and records the time until all daemons know.
+func (flt *fleet) remove(share float64) {
+	flt.mutex.Lock()
+	count := int(share * float64(len(flt.endpoints)))
+	gone := flt.endpoints[:count]
+	flt.endpoints = flt.endpoints[count:]
+	flt.mutex.Unlock()
+	// The last heartbeat of a removed endpoint may be written just before.
+	time.Sleep(checkPoll)
+	for _, id := range gone {
+		flt.store.put(topicEndpoints, id, nil)
+	}
+	began := time.Now()
+	flt.await(func(dmn *fleetDaemon) bool {
+		listed := dmn.Control.Snapshot().Fleet.Endpoints
+		for _, id := range gone {
+			if _, ok := listed[id]; ok {
+				return false
+			}
+		}
+		return true
+	})
+	flt.mutex.Lock()
+	defer flt.mutex.Unlock()
+	flt.result.known = max(flt.result.known, time.Since(began))
+}
+
+// traffic returns the messages and bytes that all daemons have sent.
+func (flt *fleet) traffic() (messages, bytes int64) {
+	for _, dmn := range flt.daemons {
+		messages += dmn.messages.Load()
+		bytes += dmn.bytes.Load()
+	}
+	return messages, bytes
+}
+
+// idleRequests are the requests of a daemon that serves none.
+type idleRequests struct{}
+
+func (idleRequests) Draining() bool                                            { return false }
+func (idleRequests) LocalUsage() map[string]dispatch.Usage                     { return nil }
+func (idleRequests) UsageAt(string) dispatch.Usage                             { return dispatch.Usage{Flights: 1, Tokens: 4000} }
+func (idleRequests) SetPeerUsage(time.Time, string, map[string]dispatch.Usage) {}
+func (idleRequests) Crashes(time.Time) []exchange.Crash                        { return nil }
+func (idleRequests) NoteCrash(exchange.Crash)                                  {}
--- a/exchange/sharing.go
+++ b/exchange/sharing.go
@@ -3,10 +3,8 @@
 import (
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
+	"papayacroft/catalog"
 	"papayacroft/control"
-	"papayacroft/dispatch"
 )
 
 // engineUsers is the number of daemons that send generations to one engine; they notify each other of each change of
@@ -15,35 +13,29 @@
 
 // sharing is the assignment of engines to the daemons that use them.
 type sharing struct {
-	signature uint64
+	// roster, endpoints and catalog are what it was made from.
+	roster    *roster
+	endpoints int64
+	catalog   *catalog.Catalog
 	// users has the daemons that use each engine. own has the engines that this daemon uses; nil means all engines.
 	users map[string][]string
 	own   map[string]bool
 }
 
 // newSharing assigns the engines of a snapshot to the members; it returns the old assignment if nothing has changed.
-func newSharing(old *sharing, snp *control.Snapshot, name string, members []string) *sharing {
-	signature := xxhash.Sum64String(name)
-	for _, one := range members {
-		signature += xxhash.Sum64String(one)
-	}
-	for id, edp := range snp.Fleet.Endpoints {
-		if snp.Catalog != nil && snp.Catalog.Services[edp.Service].Engine != nil {
-			signature ^= xxhash.Sum64String(id)
-		}
-	}
-	if old != nil && old.signature == signature {
+func newSharing(old *sharing, snp *control.Snapshot, name string, ros *roster) *sharing {
+	if old != nil && old.roster == ros && old.endpoints == snp.Fleet.Changes && old.catalog == snp.Catalog {
 		return old
 	}
-	shr := &sharing{signature: signature, users: map[string][]string{}}
-	if len(members) > engineUsers {
+	shr := &sharing{roster: ros, endpoints: snp.Fleet.Changes, catalog: snp.Catalog, users: map[string][]string{}}
+	if len(ros.members) > engineUsers {
 		shr.own = map[string]bool{}
 	}
 	for id, edp := range snp.Fleet.Endpoints {
 		if snp.Catalog == nil || snp.Catalog.Services[edp.Service].Engine == nil {
 			continue
 		}
-		shr.users[id] = dispatch.AssignedMembers(id, members, engineUsers)
+		shr.users[id] = ros.assignment.Assigned(id, engineUsers)
 		if shr.own != nil && slices.Contains(shr.users[id], name) {
 			shr.own[id] = true
 		}
@@ -53,7 +45,7 @@
 
 // ShareEngines assigns the engines of a snapshot to the daemons that answer.
 func (exc *Exchange) ShareEngines(snp *control.Snapshot) {
-	exc.sharing.Store(newSharing(exc.sharing.Load(), snp, exc.Name, exc.Members()))
+	exc.sharing.Store(newSharing(exc.sharing.Load(), snp, exc.Name, exc.roster()))
 }
 
 // OwnEngines returns the engines that this daemon uses; nil means all engines.
@@ -63,3 +55,16 @@
 	}
 	return nil
 }
+
+// Rank returns how many answering daemons precede this one in the succession of a topic's reader, successors at most.
+func (exc *Exchange) Rank(topic string) int {
+	if rank := slices.Index(exc.roster().assignment.Assigned(topic, successors), exc.Name); rank >= 0 {
+		return rank
+	}
+	return successors
+}
+
+// Assigned returns the one daemon that is responsible for an endpoint among those that answer.
+func (exc *Exchange) Assigned(endpoint string) string {
+	return exc.roster().assignment.Assigned(endpoint, 1)[0]
+}
--- a/gateway/prober.go
+++ b/gateway/prober.go
@@ -8,7 +8,6 @@
 
 	"papayacroft/catalog"
 	"papayacroft/control"
-	"papayacroft/dispatch"
 	"papayacroft/exchange"
 )
 
@@ -50,7 +49,7 @@
 		if snp.Catalog == nil || prb.Now().Sub(snp.StoreReadAt) < storeSilence {
 			continue
 		}
-		for _, edp := range assignedEngines(snp, prb.Name, prb.Exchange.Members()) {
+		for _, edp := range prb.assignedEngines(snp) {
 			go prb.probe(ctx, edp)
 		}
 	}
@@ -69,13 +68,13 @@
 	prb.Exchange.ShareLeaving(bornAt)
 }
 
-// assignedEngines returns the engines that the named member probes. Members with the same view of engines and members
-// derive the same assignment.
-func assignedEngines(snp *control.Snapshot, name string, members []string) []catalog.Endpoint {
+// assignedEngines returns the engines that this daemon probes. Daemons with the same view of engines and members derive
+// the same assignment.
+func (prb *Prober) assignedEngines(snp *control.Snapshot) []catalog.Endpoint {
 	var endpoints []catalog.Endpoint
 	for id, edp := range snp.Fleet.Endpoints {
 		_, leaving := snp.Fleet.Leaving[id]
-		if !leaving && snp.Catalog.Services[edp.Service].Engine != nil && dispatch.AssignedMembers(id, members, 1)[0] == name {
+		if !leaving && snp.Catalog.Services[edp.Service].Engine != nil && prb.Exchange.Assigned(id) == prb.Name {
 			endpoints = append(endpoints, edp)
 		}
 	}
--- a/peer/client.go
+++ b/peer/client.go
@@ -17,6 +17,8 @@
 // Client calls other daemons. It keeps one connection to each address.
 type Client struct {
 	Traffic *Traffic
+	// Dial opens a connection to an address.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 
 	mutex sync.Mutex
 	conns map[string]*jsonrpc2.Conn
@@ -24,7 +26,12 @@
 
 // NewClient returns a client that opens connections when they are first needed.
 func NewClient() *Client {
-	return &Client{Traffic: &Traffic{}, conns: map[string]*jsonrpc2.Conn{}}
+	return &Client{Traffic: &Traffic{}, Dial: dialTCP, conns: map[string]*jsonrpc2.Conn{}}
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var dlr net.Dialer
+	return dlr.DialContext(ctx, "tcp", address)
 }
 
 // Call sends a request and waits for its result.
@@ -81,8 +88,7 @@
 	if ok && !isClosed(rpc) {
 		return rpc, nil
 	}
-	var dlr net.Dialer
-	con, err := dlr.DialContext(ctx, "tcp", address)
+	con, err := clt.Dial(ctx, address)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
