Let a daemon announce that it reads a topic only after a successful read

Cause: a daemon that took over a topic announced itself before its first read. Change: the first read of a takeover does not wait for records; its success is what tells the peers.

--- a/exchange/feed.go
+++ b/exchange/feed.go
@@ -185,9 +185,11 @@
 	from := fed.next
 	whole, behind := from == unread, fed.behind
 	fed.behind = false
-	if !whole && !behind && fed.Now().Sub(fed.readAt) > fed.silence() {
-		// The peers need not wait for the end of the first reading to know that this daemon has taken over.
-		fed.Share(&TopicPart{Topic: fed.Topic, Reader: fed.Name, From: fed.shared, Next: fed.shared})
+	// The first read of a daemon that takes over does not wait, so that its peers soon hear that it can read the topic.
+	wait := fed.Wait
+	takesOver := !whole && !behind && !fed.reads(fed.Now())
+	if takesOver {
+		wait = 0
 	}
 	var records []Record
 	var next int64
@@ -195,7 +197,7 @@
 	if whole {
 		records, next, err = fed.Reader.Newest(ctx, fed.Topic)
 	} else {
-		records, next, err = fed.Reader.Read(ctx, fed.Topic, from, fed.Wait)
+		records, next, err = fed.Reader.Read(ctx, fed.Topic, from, wait)
 	}
 	now := fed.Now()
 	switch {
@@ -229,16 +231,14 @@
 		fed.shared, fed.due = next, now.Add(fed.silence()+fed.succession())
 	default:
 		fed.readAt = now
-		fed.share(now, next, records)
+		if takesOver || len(records) > 0 || now.Sub(fed.sharedAt) >= emptyInterval {
+			fed.share(now, next, records)
+		}
 	}
 }
 
-// share sends what was read to the peers: at once if there are records to share, otherwise at most every
-// emptyInterval.
+// share sends what was read to the peers.
 func (fed *Feed) share(now time.Time, next int64, records []Record) {
-	if len(records) == 0 && now.Sub(fed.sharedAt) < emptyInterval {
-		return
-	}
 	fed.Share(&TopicPart{Topic: fed.Topic, Reader: fed.Name, From: fed.shared, Next: next, Records: records})
 	fed.shared, fed.sharedAt = next, now
 }
--- a/exchange/fleet_test.go
+++ b/exchange/fleet_test.go
@@ -45,7 +45,8 @@
 	For time.Duration
 	// Publish is the version of a new configuration.
 	Publish int64
-	// Kill, Freeze and TurnAway affect daemons: "reader" is the reader of the endpoints, "third" every third daemon.
+	// Kill, Freeze and TurnAway affect daemons: "reader" and "relay" are the first readers of the
+	// endpoints and of the configuration, "successors" the first four readers of the configuration, "third" every third.
 	Kill, Freeze, TurnAway string
 	// Add is the number of endpoints that start, Remove the share of those present whose entries are removed.
 	Add    int
@@ -328,7 +329,10 @@
 func (flt *fleet) chosen(which string) []*fleetDaemon {
 	var all []*fleetDaemon
 	for i, dmn := range flt.daemons {
-		if which == "third" && i%3 == 0 || which == "reader" && dmn.Rank(topicEndpoints) == 0 || which == "relay" && dmn.Rank(topicOperator) == 0 {
+		match := map[string]bool{
+			"third": i%3 == 0, "reader": dmn.Rank(topicEndpoints) == 0, "relay": dmn.Rank(topicOperator) == 0, "successors": dmn.Rank(topicOperator) < 4,
+		}
+		if match[which] {
 			all = append(all, dmn)
 		}
 	}
