--- a/exchange/feed.go
+++ b/exchange/feed.go
@@ -182,8 +182,7 @@
 
 // read reads the topic from the store, applies the records and shares them with the peers.
 func (fed *Feed) read(ctx context.Context) {
-	from := fed.next
-	whole, behind := from == unread, fed.behind
+	whole, behind := fed.next == unread, fed.behind
 	fed.behind = false
 	// The first read of a daemon that takes over does not wait, so that its peers soon hear that it can read the topic.
 	wait := fed.Wait
@@ -191,27 +190,14 @@
 	if takesOver {
 		wait = 0
 	}
-	var records []Record
-	var next int64
-	var err error
-	if whole {
-		records, next, err = fed.Reader.Newest(ctx, fed.Topic)
-	} else {
-		records, next, err = fed.Reader.Read(ctx, fed.Topic, from, wait)
-	}
+	records, next, err := fed.fetch(ctx, wait)
 	now := fed.Now()
-	switch {
-	case ctx.Err() != nil:
-		return
-	case err != nil && IsTrimmed(err):
-		fed.Logger.WithFields(logrus.Fields{"topic": fed.Topic, "from": from}).Info("records were trimmed before they were read; reading the whole topic")
-		fed.next, fed.due = unread, now
+	if ctx.Err() != nil {
 		return
-	case err != nil:
+	}
+	if err != nil {
 		fed.behind = behind
-		fed.Control.Send(ctx, control.StoreRead{Err: err})
-		fed.due = now.Add(spread(fed.pause))
-		fed.pause = min(2*fed.pause, maxFeedPause)
+		fed.backOff(ctx, now, err)
 		return
 	}
 	fed.pause, fed.next, fed.due = minFeedPause, next, now.Add(fed.Interval)
@@ -237,6 +223,26 @@
 	}
 }
 
+// backOff decides when to read again after a failed read.
+func (fed *Feed) backOff(ctx context.Context, now time.Time, err error) {
+	if IsTrimmed(err) {
+		fed.Logger.WithFields(logrus.Fields{"topic": fed.Topic, "from": fed.next}).Info("records were trimmed before they were read; reading the whole topic")
+		fed.next, fed.due = unread, now
+		return
+	}
+	fed.Control.Send(ctx, control.StoreRead{Err: err})
+	fed.due = now.Add(spread(fed.pause))
+	fed.pause = min(2*fed.pause, maxFeedPause)
+}
+
+// fetch reads the whole topic or what follows the records known so far.
+func (fed *Feed) fetch(ctx context.Context, wait time.Duration) ([]Record, int64, error) {
+	if fed.next == unread {
+		return fed.Reader.Newest(ctx, fed.Topic)
+	}
+	return fed.Reader.Read(ctx, fed.Topic, fed.next, wait)
+}
+
 // share sends what was read to the peers.
 func (fed *Feed) share(now time.Time, next int64, records []Record) {
 	fed.Share(&TopicPart{Topic: fed.Topic, Reader: fed.Name, From: fed.shared, Next: next, Records: records})
