Bound the memory and the time that an endpoint's answer may take

Cause: the head of an answer was read without a limit: header lines without end took 868 MB of heap for one request (test below), on machines of 112 MB. A body over 4 MiB was cut there and relayed as if whole. A stream of comments never ended and renewed the silence limit. Change: 64 KB for all heads of an answer, 1xx included; a body over 4 MiB is a failure; buffers above 16 KB of all requests together take 16 MB at most; data without event ids ends a stream after 64 KB and does not renew its silence limit. Limits that were hit are counted (answer_limits_total) and count as failures of the endpoint. Test: TestHostileEndpoints, 14 kinds of bytes without end from 20 endpoints at once, heap at most 64 MB.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -10,7 +10,9 @@
 const (
 	// maxEventBytes limits the size of one event of a stream.
 	maxEventBytes = 1 << 20
-	eventIDField  = "id:"
+	// maxIdleBytes limits what a stream may have between two events with an id, such as comments.
+	maxIdleBytes = 64 << 10
+	eventIDField = "id:"
 )
 
 // eventReader reads a stream of server-sent events in units of complete events, unmodified.
@@ -19,44 +21,66 @@
 	// framed is true if the answer has a content length or is chunked. A regular end then shows that the answer is
 	// complete, so data after the last separator is part of it and not a truncated event.
 	framed bool
-	buffer []byte
+	buffer buffer
 	chunk  []byte
+	// idle is the size of the data since the last event with an id.
+	idle int
 }
 
-func newEventReader(res *http.Response) *eventReader {
+func newEventReader(res *http.Response, pool *bufferPool) *eventReader {
 	framed := res.ContentLength >= 0 || len(res.TransferEncoding) > 0
-	return &eventReader{body: res.Body, framed: framed, chunk: make([]byte, readBufferBytes)}
+	return &eventReader{body: res.Body, framed: framed, buffer: buffer{pool: pool}, chunk: make([]byte, readBufferBytes)}
+}
+
+// release returns the reader's memory to the pool.
+func (evr *eventReader) release() {
+	evr.buffer.release()
 }
 
 // next returns the complete events that have arrived; it waits for the first one.
 // At the end of the stream it returns io.EOF, or io.ErrUnexpectedEOF if the last event is truncated.
 func (evr *eventReader) next() ([]byte, error) {
 	for {
-		if end := eventsEnd(evr.buffer); end > 0 {
-			events := evr.buffer[:end:end]
-			evr.buffer = append([]byte(nil), evr.buffer[end:]...)
-			return events, nil
+		if end := eventsEnd(evr.buffer.data); end > 0 {
+			return evr.cut(end)
 		}
-		if len(evr.buffer) > maxEventBytes {
-			return nil, io.ErrShortBuffer
+		if len(evr.buffer.data) > maxEventBytes {
+			return nil, errEventTooLong
 		}
 		count, err := evr.body.Read(evr.chunk)
-		evr.buffer = append(evr.buffer, evr.chunk[:count]...)
-		if err == nil || eventsEnd(evr.buffer) > 0 {
+		if err := evr.buffer.append(evr.chunk[:count]); err != nil {
+			return nil, err
+		}
+		if err == nil || eventsEnd(evr.buffer.data) > 0 {
 			continue
 		}
-		if errors.Is(err, io.EOF) && len(evr.buffer) > 0 {
+		if errors.Is(err, io.EOF) && len(evr.buffer.data) > 0 {
 			if !evr.framed {
 				return nil, io.ErrUnexpectedEOF
 			}
-			rest := evr.buffer
-			evr.buffer = nil
-			return rest, nil
+			return evr.cut(len(evr.buffer.data))
 		}
 		return nil, err
 	}
 }
 
+// cut removes complete events from the buffer and returns them.
+func (evr *eventReader) cut(end int) ([]byte, error) {
+	events, rest := evr.buffer.data[:end:end], evr.buffer.data[end:]
+	evr.buffer.release()
+	if err := evr.buffer.append(rest); err != nil {
+		return nil, err
+	}
+	evr.idle += end
+	if bytes.Contains(events, []byte(eventIDField)) {
+		evr.idle = 0
+	}
+	if evr.idle > maxIdleBytes {
+		return nil, errNoEvents
+	}
+	return events, nil
+}
+
 // eventsEnd returns the length of the complete events at the start of the data.
 func eventsEnd(data []byte) int {
 	end := 0
--- /dev/null
+++ b/gateway/hostile_test.go
@@ -0,0 +1,228 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.yaml.in/yaml/v3"
+
+	"papayacroft/control"
+	"papayacroft/gateway"
+	"papayacroft/platform"
+	"papayacroft/standin"
+)
+
+const (
+	// hostileEngines is the number of endpoints in trouble that answer at once.
+	hostileEngines = 20
+	// hostileHeap is the heap that a daemon may use meanwhile.
+	hostileHeap = 64 << 20
+	heapPoll    = 5 * time.Millisecond
+)
+
+// hostileCase is an endpoint that sends bytes that are no answer, or no end of one.
+type hostileCase struct {
+	Name, Guards string
+	// Route is once, again or short, as in the scripts' configuration.
+	Route string
+	// Head is sent once, with the request's id in place of ID. Repeat is sent then until the connection is closed, with a
+	// pause of Pace between two; it is padded to Size bytes.
+	Head, Repeat string
+	Size         int
+	Pace         time.Duration
+	// Want is the status that the caller gets; 0 means that the answer visibly breaks off.
+	Want int
+	// Within is the time until the caller has an answer and the endpoint's connection is closed.
+	Within time.Duration
+}
+
+// Each case of testdata/hostile.yaml plays endpoints that send bytes without end, many of them at once. The caller must
+// get an honest end, the connection must be closed, and the memory of the daemon stays bounded.
+func TestHostileEndpoints(t *testing.T) {
+	data, err := os.ReadFile("testdata/hostile.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []hostileCase
+	if err := yaml.Unmarshal(data, &cases); err != nil || len(cases) == 0 {
+		t.Fatalf("got %d cases, error %v; want some", len(cases), err)
+	}
+	for _, cse := range cases {
+		t.Run(cse.Name, func(t *testing.T) {
+			t.Log(cse.Guards)
+			cse.play(t)
+		})
+	}
+}
+
+func (cse *hostileCase) play(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var engines []*hostileEngine
+	upd := control.EndpointUpdate{}
+	for i := range hostileEngines {
+		eng := newHostileEngine(t, cse)
+		engines = append(engines, eng)
+		edp, err := platform.ParseEndpoint(time.Now(), fmt.Sprintf("e%d", i), fmt.Appendf(nil,
+			`{"service":%q,"address":%q,"zone":"a","slots":1,"state":"ready","sequence":1}`, cse.service(), eng.listener.Addr()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		upd.Endpoints = append(upd.Endpoints, edp)
+	}
+	cat, err := platform.ParseCatalog(configuration("1", nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	ctl := control.New()
+	ctl.Logger = logger
+	go ctl.Run(ctx)
+	ctl.Send(ctx, control.ConfigurationUpdate{Catalog: cat})
+	ctl.Send(ctx, upd)
+	for len(ctl.Snapshot().Fleet.Endpoints) < hostileEngines {
+		time.Sleep(time.Millisecond)
+	}
+	srv := gateway.NewServer()
+	srv.Snapshots, srv.Wire, srv.Logger = ctl, platform.Headers{}, logger
+	front := httptest.NewServer(srv)
+	defer front.Close()
+	peak := watchHeap(ctx)
+	var grp sync.WaitGroup
+	for i := range hostileEngines {
+		grp.Go(func() { cse.call(t, front.Listener.Addr().String(), fmt.Sprintf("id-%d", i)) })
+	}
+	grp.Wait()
+	for _, eng := range engines {
+		eng.awaitClosed(t, cse.Within)
+	}
+	cancel()
+	if got := <-peak; got > hostileHeap {
+		t.Errorf("got a heap of %d MB, want %d at most", got>>20, hostileHeap>>20)
+	}
+}
+
+func (cse *hostileCase) service() string {
+	if cse.Route != "once" {
+		return "pool"
+	}
+	return "desk"
+}
+
+// call sends one request and checks its end.
+func (cse *hostileCase) call(t *testing.T, address, id string) {
+	began := time.Now()
+	req, err := standin.NewSiteCall(t.Context(), fmt.Sprintf("http://%s/%s/x", address, cse.Route), id, "key-one", time.Minute)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	res, err := http.DefaultClient.Do(req)
+	status := 0
+	if err == nil {
+		_, err = io.Copy(io.Discard, res.Body)
+		_ = res.Body.Close()
+		if err == nil {
+			status = res.StatusCode
+		}
+	}
+	if status != cse.Want {
+		t.Errorf("%s: got status %d, error %v; want %d", id, status, err, cse.Want)
+	}
+	if got := time.Since(began); got > cse.Within {
+		t.Errorf("%s: got an answer after %v, want it within %v", id, got, cse.Within)
+	}
+}
+
+// watchHeap samples the heap until the context ends and then returns its greatest size.
+func watchHeap(ctx context.Context) chan uint64 {
+	runtime.GC()
+	peak := make(chan uint64, 1)
+	go func() {
+		var most uint64
+		var sts runtime.MemStats
+		for ctx.Err() == nil {
+			runtime.ReadMemStats(&sts)
+			most = max(most, sts.HeapAlloc)
+			time.Sleep(heapPoll)
+		}
+		peak <- most
+	}()
+	return peak
+}
+
+// hostileEngine is an endpoint as a case describes it.
+type hostileEngine struct {
+	*hostileCase
+	listener net.Listener
+	open     sync.WaitGroup
+}
+
+func newHostileEngine(t *testing.T, cse *hostileCase) *hostileEngine {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = lis.Close() })
+	eng := &hostileEngine{hostileCase: cse, listener: lis}
+	go func() {
+		for {
+			con, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			eng.open.Go(func() { eng.serve(con) })
+		}
+	}()
+	return eng
+}
+
+// serve answers one request until its connection is closed.
+func (eng *hostileEngine) serve(con net.Conn) {
+	defer con.Close()
+	req, err := http.ReadRequest(bufio.NewReader(con))
+	if err != nil {
+		return
+	}
+	id := req.Header.Get("Attempt-Id")
+	if _, err := io.WriteString(con, strings.ReplaceAll(strings.ReplaceAll(eng.Head, "\n", "\r\n"), "ID", id)); err != nil {
+		return
+	}
+	repeat := []byte(eng.Repeat)
+	if eng.Size > 0 {
+		repeat = []byte(strings.Repeat(eng.Repeat, eng.Size/len(eng.Repeat)))
+	}
+	for {
+		if _, err := con.Write(repeat); err != nil {
+			return
+		}
+		time.Sleep(eng.Pace)
+	}
+}
+
+// awaitClosed checks that all connections to the endpoint were closed in time.
+func (eng *hostileEngine) awaitClosed(t *testing.T, within time.Duration) {
+	closed := make(chan struct{})
+	go func() {
+		eng.open.Wait()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(within):
+		t.Errorf("got a connection that is still open after %v, want none", within)
+	}
+}
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -104,7 +104,9 @@
 		lnk.SetReadDeadline(time.Now().Add(out.HeadTimeout))
 		defer lnk.SetReadDeadline(time.Time{})
 	}
-	res, err := readResponse(bufio.NewReaderSize(lnk.conn, readBufferBytes), req) //nolint:bodyclose // the body ends with the connection
+	lmt := &headLimiter{conn: lnk.conn, left: maxAnswerHeadBytes}
+	res, err := readResponse(bufio.NewReaderSize(lmt, readBufferBytes), req) //nolint:bodyclose // the body ends with the connection
+	lmt.done = true
 	lnk.Response = res
 	return err
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -29,6 +29,8 @@
 	sends *prometheus.CounterVec
 	// moves counts attempts to copy generations off leaving engines by outcome.
 	moves *prometheus.CounterVec
+	// limits counts answers of endpoints that exceeded a limit, by the limit.
+	limits *prometheus.CounterVec
 	calls, firstEvents,
 	pauses prometheus.Histogram
 }
@@ -46,6 +48,9 @@
 		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metricsNamespace, Name: "moves_total", Help: "Copies of generations off leaving engines by outcome.",
 		}, []string{fieldOutcome}),
+		limits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "answer_limits_total", Help: "Answers of endpoints that exceeded a limit, by the limit.",
+		}, []string{"limit"}),
 		calls: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: metricsNamespace, Name: "call_seconds", Help: "Time to the answer of plain calls.", Buckets: callBuckets,
 		}),
@@ -56,7 +61,7 @@
 			Namespace: metricsNamespace, Name: "longest_pause_seconds", Help: "Longest pause between two events of a complete stream.", Buckets: callBuckets,
 		}),
 	}
-	met.registry.MustRegister(met.requests, met.sends, met.moves, met.calls, met.firstEvents, met.pauses,
+	met.registry.MustRegister(met.requests, met.sends, met.moves, met.limits, met.calls, met.firstEvents, met.pauses,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return met
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -15,8 +14,6 @@
 )
 
 const (
-	// maxPlainBytes limits an answer that is buffered until it is complete.
-	maxPlainBytes = 4 << 20
 	// fullRetry is the Retry-After of requests for which all endpoints are full or none accepts work.
 	fullRetry = 400 * time.Millisecond
 	// maxUnreached limits the endpoints that one request is tried at without getting a connection.
@@ -29,7 +26,7 @@
 // plainAnswer is an endpoint's complete, buffered answer.
 type plainAnswer struct {
 	response *http.Response
-	body     []byte
+	body     *buffer
 }
 
 // outcome is the result of sending a request to one endpoint.
@@ -72,6 +69,14 @@
 	return trs.refusal(ctx, rqs)
 }
 
+// keep replaces the last complete answer.
+func (trs *tries) keep(ans *plainAnswer) {
+	if trs.answer != nil {
+		trs.answer.body.release()
+	}
+	trs.answer = ans
+}
+
 // refusal returns the gateway's response to a request that no endpoint answered.
 func (trs *tries) refusal(ctx context.Context, rqs *request) *refusal {
 	switch {
@@ -97,7 +102,7 @@
 	ans, res, err := srv.sendCall(ctx, rqs, cho.Endpoint)
 	srv.logSend(rqs, &cho, res, ans.status(), err)
 	if res == outcomeAnswered {
-		trs.answer = ans
+		trs.keep(ans)
 		if ans.response.StatusCode < http.StatusInternalServerError {
 			return false
 		}
@@ -131,6 +136,7 @@
 
 // relayAnswer writes an endpoint's complete answer to the caller.
 func (srv *Server) relayAnswer(wri http.ResponseWriter, rqs *request, ans *plainAnswer) *refusal {
+	defer ans.body.release()
 	ans.write(wri, srv.Wire)
 	rqs.status = ans.response.StatusCode
 	srv.Metrics.calls.Observe(srv.Now().Sub(rqs.begun).Seconds())
@@ -164,7 +170,9 @@
 	}
 	rqs.sends++
 	if err != nil {
-		srv.checkCrash(ctx, rqs, edp)
+		if !srv.noteLimit(err) {
+			srv.checkCrash(ctx, rqs, edp)
+		}
 		return nil, outcomeUnknown, err
 	}
 	defer lnk.Close()
@@ -173,14 +181,17 @@
 		srv.noteAnswer(edp.ID, ans, false)
 		return nil, outcomeNotRun, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(lnk.Response.Body, maxPlainBytes))
-	if err != nil {
-		srv.checkCrash(ctx, rqs, edp)
-	} else {
+	body, err := srv.buffers.readAnswer(lnk.Response)
+	if err == nil {
 		err = checkAnswer(rqs, ans)
+	} else if !srv.noteLimit(err) {
+		srv.checkCrash(ctx, rqs, edp)
 	}
 	srv.noteAnswer(edp.ID, ans, err == nil && lnk.Response.StatusCode < 500)
 	if err != nil {
+		if body != nil {
+			body.release()
+		}
 		return nil, outcomeUnknown, err
 	}
 	return &plainAnswer{response: lnk.Response, body: body}, outcomeAnswered, nil
@@ -217,9 +228,9 @@
 	for name, values := range wire.AnswerHeader(ans.response.Header) {
 		hdr[name] = values
 	}
-	hdr.Set("Content-Length", strconv.Itoa(len(ans.body)))
+	hdr.Set("Content-Length", strconv.Itoa(len(ans.body.data)))
 	wri.WriteHeader(ans.response.StatusCode)
-	_, _ = wri.Write(ans.body)
+	_, _ = wri.Write(ans.body.data)
 }
 
 // String returns the outcome's name in logs and metrics.
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -80,6 +80,7 @@
 	// drainingSince is the time of the stop signal in Unix nanoseconds; 0 until the signal arrives.
 	drainingSince atomic.Int64
 	streams       *streams
+	buffers       bufferPool
 }
 
 // NewServer returns a server that uses the system clock.
@@ -360,6 +361,23 @@
 	srv.Balancer.Failed(srv.Now(), id, !sendErr.Sent)
 }
 
+// noteLimit counts an answer that exceeded a limit; it returns false for other errors.
+func (srv *Server) noteLimit(err error) bool {
+	limit := exceededLimit(err)
+	if limit == "" {
+		return false
+	}
+	srv.Metrics.limits.WithLabelValues(limit).Inc()
+	return true
+}
+
+// noteFailure records that an endpoint failed in the middle of a stream.
+func (srv *Server) noteFailure(id string) {
+	srv.mutex.Lock()
+	defer srv.mutex.Unlock()
+	srv.Balancer.Failed(srv.Now(), id, false)
+}
+
 func (srv *Server) noteAnswer(id string, ans Answer, ok bool) {
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -149,7 +149,7 @@
 		return false
 	}
 	if res == outcomeAnswered {
-		trs.answer = one.readFailure()
+		trs.keep(one.readFailure())
 	}
 	return one.server.shouldRetry(ctx, one.request, trs, res)
 }
@@ -157,10 +157,11 @@
 // readFailure reads an engine's 5xx answer, which is relayed to the caller if no other engine succeeds.
 func (one *run) readFailure() *plainAnswer {
 	res := one.link.Response
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxPlainBytes))
+	body, err := one.server.buffers.readAnswer(res)
 	one.detach()
 	one.link = nil
 	if err != nil {
+		one.server.noteLimit(err)
 		return nil
 	}
 	return &plainAnswer{response: res, body: body}
@@ -204,7 +205,9 @@
 			return outcomeUnreached, err
 		}
 		rqs.sends++
-		srv.checkCrash(ctx, rqs, edp)
+		if !srv.noteLimit(err) {
+			srv.checkCrash(ctx, rqs, edp)
+		}
 		return outcomeUnknown, err
 	}
 	rqs.sends++
@@ -232,9 +235,10 @@
 		return nil
 	}
 	defer one.detach()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxPlainBytes))
+	body, err := one.server.buffers.readAnswer(res)
 	one.link = nil
 	if err != nil {
+		one.server.noteLimit(err)
 		return failed("the engine's answer broke off: %v", err)
 	}
 	return one.server.relayAnswer(one.writer, one.request, &plainAnswer{response: res, body: body})
@@ -255,12 +259,17 @@
 
 // relay forwards events to the caller until the stream ends; it returns nil if the stream is complete.
 func (one *run) relay() error {
-	reader := newEventReader(one.link.Response)
-	for {
-		if one.route.Resumable {
+	reader := newEventReader(one.link.Response, &one.server.buffers)
+	defer reader.release()
+	for progress := -1; ; {
+		if one.route.Resumable && progress != one.events {
+			progress = one.events
 			one.link.SetReadDeadline(one.server.Now().Add(max(silenceLimit, one.firstEventTimeout())))
 		}
 		events, err := reader.next()
+		if one.server.noteLimit(err) {
+			one.server.noteFailure(one.endpoint.ID)
+		}
 		if len(events) > 0 {
 			if err := one.write(events); err != nil {
 				return err
--- a/peer/traffic.go
+++ b/peer/traffic.go
@@ -1,11 +1,15 @@
 package peer
 
 import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
 	"io"
 	"log"
 	"net"
 	"sync/atomic"
 
+	"github.com/gravitational/trace"
 	"github.com/sourcegraph/jsonrpc2"
 )
 
@@ -36,7 +40,27 @@
 }
 
 func newStream(con net.Conn, trf *Traffic) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewBufferedStream(&countedConn{Conn: con, traffic: trf}, jsonrpc2.VarintObjectCodec{})
+	return jsonrpc2.NewBufferedStream(&countedConn{Conn: con, traffic: trf}, boundedCodec{})
+}
+
+// maxMessageBytes limits a message from another daemon.
+const maxMessageBytes = 32 << 20
+
+// boundedCodec is jsonrpc2.VarintObjectCodec with a limit of the size of a message.
+type boundedCodec struct {
+	jsonrpc2.VarintObjectCodec
+}
+
+// ReadObject reads one message; it fails for one that is longer than maxMessageBytes.
+func (boundedCodec) ReadObject(stream *bufio.Reader, object any) error {
+	size, err := binary.ReadUvarint(stream)
+	if err != nil {
+		return err
+	}
+	if size > maxMessageBytes {
+		return trace.LimitExceeded("message of %d bytes; at most %d are allowed", size, maxMessageBytes)
+	}
+	return json.NewDecoder(io.LimitReader(stream, int64(size))).Decode(object)
 }
 
 // discardLog keeps the library from writing to standard error when a connection closes before a reply is sent; the
