Give up a silent endpoint only for another one, and check the view after a pause

A slow but sound resumable stream was cut after 1.2 s without an event although no other engine could continue it (stream_slow failed with 1 event of 4 on the code before); a stalled one that sent comments lasted until its deadline. A process that had been paused served with the configuration from before the pause. A second SIGTERM to a gateway stopped nothing. Finding the end of an event searched all data again at each read. Change: silence ends a call or stream only if another endpoint is there and a retry was taken from the budget; comments are no progress; after the callers' patience a stream without events ends. After a pause of over 1.5 s requests wait up to 0.2 s until the store has been read. A second signal ends a drain. Test: stream_slow, TestHostileEndpoints/drip, TestPauseMakesViewStale, TestRequestAfterPauseWaitsForConfiguration. Result: tests of gateway, control and platform pass with the race detector; linter without a finding. The second signal has no test of its own yet.

--- a/control/control.go
+++ b/control/control.go
@@ -15,7 +15,11 @@
 const (
 	// tickInterval is the interval of the control goroutine's periodic work.
 	tickInterval = 100 * time.Millisecond
-	inputBuffer  = 64
+	// maxTickGap is the time without periodic work after which the process counts as paused.
+	maxTickGap = 1500 * time.Millisecond
+	// resumeTime is the time after a pause within which the store is read if it can be.
+	resumeTime  = 300 * time.Millisecond
+	inputBuffer = 64
 	// sourceStore is logged as the source of information that comes from an entry in the store or from its removal.
 	sourceStore = "store"
 )
@@ -30,6 +34,17 @@
 	PeerChanges int64
 	// StoreReadAt is when this daemon, or a peer that shared its read, last read the store.
 	StoreReadAt time.Time
+	// TickedAt is when the snapshot was made, and ResumedAt when the process went on after a pause; see IsStale.
+	TickedAt, ResumedAt time.Time
+}
+
+// IsStale reports whether the process has been paused since the store was last read, so that the configuration and the
+// endpoints of the snapshot may be out of date.
+func (snp *Snapshot) IsStale(now time.Time) bool {
+	if now.Sub(snp.ResumedAt) < resumeTime && snp.StoreReadAt.Before(snp.ResumedAt) {
+		return true
+	}
+	return now.Sub(snp.TickedAt) > maxTickGap
 }
 
 // Input is a message to the control goroutine.
@@ -52,6 +67,8 @@
 	peerChanges int64
 	storeReadAt time.Time
 	storeLost   bool
+	// tickedAt is the time of the last periodic work, and resumedAt the end of the last pause.
+	tickedAt, resumedAt time.Time
 	// sources is who reported that an endpoint leaves, by id, until that is logged; without an entry it was the store.
 	sources  map[string]string
 	inputs   chan Input
@@ -89,10 +106,14 @@
 		case <-ctx.Done():
 			return
 		case inp := <-ctl.inputs:
-			inp.Apply(ctl.Now(), ctl)
+			now := ctl.Now()
+			ctl.notePause(now)
+			inp.Apply(now, ctl)
 			ctl.publish()
 		case <-ticker.C:
-			ctl.fleet.Expire(ctl.Now())
+			now := ctl.Now()
+			ctl.notePause(now)
+			ctl.fleet.Expire(now)
 			ctl.publish()
 			ctl.remindLeaving(ctl.Snapshot())
 			if ctl.OnTick != nil {
@@ -102,9 +123,19 @@
 	}
 }
 
+// notePause records the end of a pause of the process.
+func (ctl *Control) notePause(now time.Time) {
+	if gap := now.Sub(ctl.tickedAt); gap > maxTickGap && !ctl.tickedAt.IsZero() {
+		ctl.resumedAt = now
+		ctl.Logger.WithField("pause", gap).Warn("process goes on after a pause; requests wait until the store has been read")
+	}
+	ctl.tickedAt = now
+}
+
 func (ctl *Control) publish() {
 	old := ctl.snapshot.Load()
-	snp := &Snapshot{Catalog: ctl.catalog, Fleet: ctl.fleet.View(), Peers: ctl.peers, PeerChanges: ctl.peerChanges, StoreReadAt: ctl.storeReadAt}
+	snp := &Snapshot{Catalog: ctl.catalog, Fleet: ctl.fleet.View(), Peers: ctl.peers, PeerChanges: ctl.peerChanges, StoreReadAt: ctl.storeReadAt,
+		TickedAt: ctl.tickedAt, ResumedAt: ctl.resumedAt}
 	ctl.snapshot.Store(snp)
 	if snp.Fleet.Changes != old.Fleet.Changes {
 		ctl.announce(old, snp)
--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,47 @@
+package control
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// A process that was paused holds a configuration in which a key may have been withdrawn meanwhile. Its view must count
+// as stale until the store has been read, but not for long if the store can't be read.
+func TestPauseMakesViewStale(t *testing.T) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	now := time.Unix(1_700_000_000, 0)
+	ctl := New()
+	ctl.Logger = logger
+	for _, stp := range []struct {
+		name  string
+		after time.Duration
+		// tick and read say whether the control goroutine and the store's reader have run.
+		tick, read, want bool
+	}{
+		{name: "start", tick: true, read: true},
+		{name: "usual tick", after: 100 * time.Millisecond, tick: true},
+		{name: "woken before the control goroutine", after: 5 * time.Second, want: true},
+		{name: "woken", tick: true, want: true},
+		{name: "store read", after: 10 * time.Millisecond, tick: true, read: true},
+		{name: "second pause", after: 2 * time.Second, tick: true, want: true},
+		{name: "store can't be read", after: resumeTime, tick: true},
+	} {
+		now = now.Add(stp.after)
+		if stp.tick {
+			ctl.notePause(now)
+		}
+		if stp.read {
+			StoreRead{}.Apply(now, ctl)
+		}
+		if stp.tick || stp.read {
+			ctl.publish()
+		}
+		if got := ctl.Snapshot().IsStale(now); got != stp.want {
+			t.Errorf("%s: got stale %v, want %v", stp.name, got, stp.want)
+		}
+	}
+}
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -46,6 +46,8 @@
 	Prober   *Prober
 	// Tasks are functions to run in the background; their context is cancelled when the daemon stops.
 	Tasks []func(ctx context.Context)
+	// Kill, if set, ends a drain when it is cancelled.
+	Kill context.Context
 }
 
 // NewDaemon returns a daemon that needs its exported fields set before Run.
@@ -177,16 +179,28 @@
 	wri.WriteHeader(http.StatusOK)
 }
 
+// awaitUnready waits until the load balancer has taken the daemon out.
+func (dmn *Daemon) awaitUnready() {
+	kill := dmn.Kill
+	if kill == nil {
+		kill = context.Background()
+	}
+	retry.Sleep(kill, unreadyTime)
+}
+
 // drain accepts requests until the load balancer has taken the daemon out, and then finishes those in flight.
 func (dmn *Daemon) drain(callers *http.Server) {
 	began := time.Now()
 	dmn.Server.drainingSince.Store(began.UnixNano())
 	dmn.Exchange.RequestRound()
 	dmn.Logger.WithField("inFlight", dmn.Server.InFlight()).Info("draining")
-	time.Sleep(unreadyTime)
+	dmn.awaitUnready()
 	callers.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(time.Duration(dmn.Settings.DrainNotice)-exitMargin))
 	defer cancel()
+	if dmn.Kill != nil {
+		defer context.AfterFunc(dmn.Kill, cancel)()
+	}
 	for dmn.Server.InFlight() > 0 && ctx.Err() == nil {
 		retry.Sleep(ctx, drainPoll)
 	}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -13,6 +13,8 @@
 	// maxIdleBytes limits what a stream may have between two events with an id, such as comments.
 	maxIdleBytes = 64 << 10
 	eventIDField = "id:"
+	// maxSeparatorBytes is the size of the longest separator of events.
+	maxSeparatorBytes = 4
 )
 
 // eventReader reads a stream of server-sent events in units of complete events, unmodified.
@@ -23,6 +25,8 @@
 	framed bool
 	buffer buffer
 	chunk  []byte
+	// scanned is the size of the data at the start of buffer that has no end of an event.
+	scanned int
 	// idle is the size of the data since the last event with an id.
 	idle int
 }
@@ -41,7 +45,7 @@
 // At the end of the stream it returns io.EOF, or io.ErrUnexpectedEOF if the last event is truncated.
 func (evr *eventReader) next() ([]byte, error) {
 	for {
-		if end := eventsEnd(evr.buffer.data); end > 0 {
+		if end := evr.eventsEnd(); end > 0 {
 			return evr.cut(end)
 		}
 		if len(evr.buffer.data) > maxEventBytes {
@@ -51,9 +55,12 @@
 		if err := evr.buffer.append(evr.chunk[:count]); err != nil {
 			return nil, err
 		}
-		if err == nil || eventsEnd(evr.buffer.data) > 0 {
+		if err == nil {
 			continue
 		}
+		if end := evr.eventsEnd(); end > 0 {
+			return evr.cut(end)
+		}
 		if errors.Is(err, io.EOF) && len(evr.buffer.data) > 0 {
 			if !evr.framed {
 				return nil, io.ErrUnexpectedEOF
@@ -68,6 +75,7 @@
 func (evr *eventReader) cut(end int) ([]byte, error) {
 	events, rest := evr.buffer.data[:end:end], evr.buffer.data[end:]
 	evr.buffer.release()
+	evr.scanned = 0
 	if err := evr.buffer.append(rest); err != nil {
 		return nil, err
 	}
@@ -81,14 +89,17 @@
 	return events, nil
 }
 
-// eventsEnd returns the length of the complete events at the start of the data.
-func eventsEnd(data []byte) int {
-	end := 0
+// eventsEnd returns the length of the complete events at the start of the buffer.
+func (evr *eventReader) eventsEnd() int {
+	data, end := evr.buffer.data, 0
+	// A separator may have begun in the data that was searched before.
+	from := max(0, evr.scanned-maxSeparatorBytes+1)
 	for _, sep := range []string{"\n\n", "\r\n\r\n"} {
-		if at := bytes.LastIndex(data, []byte(sep)); at >= 0 {
-			end = max(end, at+len(sep))
+		if at := bytes.LastIndex(data[from:], []byte(sep)); at >= 0 {
+			end = max(end, from+at+len(sep))
 		}
 	}
+	evr.scanned = len(data)
 	return end
 }
 
--- a/gateway/failure_test.go
+++ b/gateway/failure_test.go
@@ -50,3 +50,36 @@
 		t.Errorf("got score %.2f, want less than %.2f as of an endpoint without failures", got, want)
 	}
 }
+
+// wakingSnapshots is the view of a process that goes on after a pause: the store is read only some time later.
+type wakingSnapshots struct {
+	wokenAt time.Time
+	readAt  time.Duration
+}
+
+// Snapshot returns the view, with version 2 of the configuration once the store has been read.
+func (wak wakingSnapshots) Snapshot() *control.Snapshot {
+	snp := &control.Snapshot{
+		Catalog:     catalog.NewCatalog(1, nil, nil, nil),
+		StoreReadAt: wak.wokenAt.Add(-5 * time.Second), TickedAt: wak.wokenAt, ResumedAt: wak.wokenAt,
+	}
+	if at := wak.wokenAt.Add(wak.readAt); time.Now().After(at) {
+		snp.Catalog, snp.StoreReadAt = catalog.NewCatalog(2, nil, nil, nil), at
+	}
+	return snp
+}
+
+// A request that a daemon takes just after a pause must be checked against the configuration that the store has now: a
+// key may have been withdrawn during the pause.
+func TestRequestAfterPauseWaitsForConfiguration(t *testing.T) {
+	for _, cse := range []struct {
+		readAt time.Duration
+		want   int64
+	}{{20 * time.Millisecond, 2}, {time.Minute, 1}} {
+		srv := NewServer()
+		srv.Snapshots = wakingSnapshots{wokenAt: time.Now(), readAt: cse.readAt}
+		if got := srv.current(t.Context(), time.Now()).Version(); got != cse.want {
+			t.Errorf("store read after %v: got version %d, want %d", cse.readAt, got, cse.want)
+		}
+	}
+}
--- a/gateway/hostile_test.go
+++ b/gateway/hostile_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -82,7 +83,7 @@
 		}
 		upd.Endpoints = append(upd.Endpoints, edp)
 	}
-	cat, err := platform.ParseCatalog(configuration("1", nil))
+	cat, err := platform.ParseCatalog(bytes.ReplaceAll(configuration("1", nil), []byte(`"targetLatencyMs":3000`), []byte(`"targetLatencyMs":300`)))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,6 +20,8 @@
 	// concurrentWriteBytes is the size above which a body is written concurrently with reading the answer: an endpoint
 	// may answer before it has read a long body.
 	concurrentWriteBytes = 16 << 10
+	// silencePoll is the interval at which a link to a silent endpoint asks again whether to give up.
+	silencePoll = 250 * time.Millisecond
 	// readBufferBytes is enough for several events of a stream.
 	readBufferBytes = 8 << 10
 )
@@ -30,8 +33,10 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// HeadTimeout limits the wait for the head of the answer; with 0, only the context limits it.
+	// HeadTimeout is the wait for the head of the answer after which the link is closed if GiveUp allows it. With 0, only
+	// the context limits the wait.
 	HeadTimeout time.Duration
+	GiveUp      func() bool
 }
 
 // SendError is the error of a request that got no answer; it shows whether the request may have been sent.
@@ -63,6 +68,8 @@
 	conn net.Conn
 	once sync.Once
 	stop func() bool
+	// silent is true if the link was closed because the endpoint was silent.
+	silent atomic.Bool
 }
 
 // Open sends a request and reads the head of its answer. If the context ends at any later time, the link is closed too.
@@ -80,6 +87,8 @@
 		lnk.Close()
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
+		} else if lnk.silent.Load() {
+			err = errSilent
 		}
 		return nil, &SendError{Sent: true, Err: err}
 	}
@@ -101,8 +110,7 @@
 		return err
 	}
 	if out.HeadTimeout > 0 {
-		lnk.SetReadDeadline(time.Now().Add(out.HeadTimeout))
-		defer lnk.SetReadDeadline(time.Time{})
+		defer lnk.CloseWhenSilent(out.HeadTimeout, out.GiveUp).Stop()
 	}
 	lmt := &headLimiter{conn: lnk.conn, left: maxAnswerHeadBytes}
 	res, err := readResponse(bufio.NewReaderSize(lmt, readBufferBytes), req) //nolint:bodyclose // the body ends with the connection
@@ -131,7 +139,20 @@
 	lnk.once.Do(func() { _ = lnk.conn.Close() })
 }
 
-// SetReadDeadline sets the time until which reads of the answer may block; zero means no limit.
-func (lnk *Link) SetReadDeadline(at time.Time) {
-	_ = lnk.conn.SetReadDeadline(at)
+// CloseWhenSilent closes the link when a time has passed and giveUp allows it; otherwise it asks again after silencePoll.
+// Resetting the returned timer extends the time.
+func (lnk *Link) CloseWhenSilent(after time.Duration, giveUp func() bool) *time.Timer {
+	var tmr *time.Timer
+	armed := make(chan struct{})
+	tmr = time.AfterFunc(after, func() {
+		<-armed
+		if !giveUp() {
+			tmr.Reset(silencePoll)
+			return
+		}
+		lnk.silent.Store(true)
+		lnk.closeConn()
+	})
+	close(armed)
+	return tmr
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -156,9 +156,15 @@
 func (srv *Server) sendCall(ctx context.Context, rqs *request, edp *catalog.Endpoint) (*plainAnswer, outcome, error) {
 	if rqs.route.Repeatable() && rqs.sends+1 < rqs.route.Attempts {
 		left := rqs.deadline.Sub(srv.Now())
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeoutCause(ctx, time.Duration(silentShare*float64(left)), errSilent)
-		defer cancel()
+		attempt, cancel := context.WithCancelCause(ctx)
+		defer cancel(nil)
+		ctx = attempt
+		giveUp := srv.giveUp(rqs, edp.ID, dispatch.Work{})
+		defer time.AfterFunc(time.Duration(silentShare*float64(left)), func() {
+			if giveUp() {
+				cancel(errSilent)
+			}
+		}).Stop()
 	}
 	flt := srv.begin(edp.ID, dispatch.Work{})
 	defer srv.end(flt)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -34,6 +35,8 @@
 	// from the store: the store answers in 4 ms.
 	endpointsWait = 40 * time.Millisecond
 	endpointsPoll = 4 * time.Millisecond
+	// resumeWait is how long a request waits, after a pause of the process, until the store has been read.
+	resumeWait = 200 * time.Millisecond
 	// defaultDeadline is the timeout of requests whose route has none.
 	defaultDeadline = time.Minute
 	// defaultMaxBodyBytes limits request bodies if the configuration has no limit.
@@ -107,6 +110,8 @@
 	logger       logrus.FieldLogger
 	excluded     map[string]bool
 	sends        int
+	// prepaid is true if a retry was taken from the budget before the silent endpoint was given up.
+	prepaid atomic.Bool
 	// status is the HTTP status of the answer that was relayed to the caller; 0 if the answer is incomplete.
 	status int
 }
@@ -154,7 +159,7 @@
 
 // admit matches the route, authenticates the caller, sets the deadline and reads the body.
 func (srv *Server) admit(now time.Time, wri http.ResponseWriter, rqs *request) *refusal {
-	snp := srv.Snapshots.Snapshot()
+	snp := srv.current(rqs.http.Context(), now)
 	cat := snp.Catalog
 	switch {
 	case cat == nil:
@@ -203,6 +208,22 @@
 	return nil
 }
 
+// current returns the newest snapshot. After a pause of the process it waits until the store has been read, for
+// resumeWait at most: a key may have been withdrawn meanwhile.
+func (srv *Server) current(ctx context.Context, now time.Time) *control.Snapshot {
+	snp := srv.Snapshots.Snapshot()
+	if snp.Catalog == nil || !snp.IsStale(now) {
+		return snp
+	}
+	ctx, cancel := context.WithTimeout(ctx, resumeWait)
+	defer cancel()
+	for snp.IsStale(srv.Now()) && ctx.Err() == nil {
+		retry.Sleep(ctx, endpointsPoll)
+		snp = srv.Snapshots.Snapshot()
+	}
+	return snp
+}
+
 // awaitEndpoints waits until at least one endpoint is known, for endpointsWait at most.
 func (srv *Server) awaitEndpoints(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, endpointsWait)
@@ -294,11 +315,29 @@
 
 // spend takes one retry from the retry budget and reports whether one was left.
 func (srv *Server) spend(rqs *request) bool {
+	if rqs.prepaid.CompareAndSwap(true, false) {
+		return true
+	}
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
 	return srv.Budget.Spend(srv.Now(), rqs.service)
 }
 
+// giveUp returns a function that decides, once an endpoint is silent, whether to give it up: only if there is another
+// endpoint and a retry is left, which it takes from the budget. The endpoint may be slow but sound.
+func (srv *Server) giveUp(rqs *request, id string, wrk dispatch.Work) func() bool {
+	excluded := maps.Clone(rqs.excluded)
+	excluded[id] = true
+	return func() bool {
+		cho := srv.decide(srv.Now(), &dispatch.Request{Service: rqs.service, Work: wrk, Target: rqs.route.Target, Excluded: excluded, Force: true})
+		if cho.Endpoint == nil || !srv.spend(rqs) {
+			return false
+		}
+		rqs.prepaid.Store(true)
+		return true
+	}
+}
+
 func (srv *Server) begin(id string, wrk dispatch.Work) *dispatch.Flight {
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -28,8 +28,14 @@
 	headShare = 1.6
 	// moveWait is how long a broken stream waits for the result of a move of its generation that is in progress.
 	moveWait = 2 * time.Second
-	// silenceLimit is the time without events after which a resumable stream is continued at another engine;
-	// firstEventTimeout allows more until the first event.
+	// Callers abandon a stream after a gap between events of minPatience, patienceTargets times the route's target or
+	// patiencePauses times its longest pause that is on time, whichever is longest. patienceMargin comes on top.
+	minPatience     = 2 * time.Second
+	patienceTargets = 4
+	patiencePauses  = 8
+	patienceMargin  = 500 * time.Millisecond
+	// silenceLimit is the time without events after which a resumable stream is continued at another engine, if its attempts
+	// and the budget allow it; firstEventTimeout allows more until the first event.
 	silenceLimit = 1200 * time.Millisecond
 )
 
@@ -194,6 +200,7 @@
 	out := srv.outgoing(rqs, fwd)
 	if rqs.route.Repeatable() && rqs.sends+1 < rqs.route.Attempts {
 		out.HeadTimeout = time.Duration(headShare * float64(rqs.route.Target))
+		out.GiveUp = srv.giveUp(rqs, edp.ID, wrk)
 	}
 	flt := srv.begin(edp.ID, wrk)
 	lnk, err := Open(ctx, edp.Address, out)
@@ -261,11 +268,10 @@
 func (one *run) relay() error {
 	reader := newEventReader(one.link.Response, &one.server.buffers)
 	defer reader.release()
-	for progress := -1; ; {
-		if one.route.Resumable && progress != one.events {
-			progress = one.events
-			one.link.SetReadDeadline(one.server.Now().Add(max(silenceLimit, one.firstEventTimeout())))
-		}
+	wat := one.watchSilence()
+	defer wat.stop()
+	for {
+		before := one.events
 		events, err := reader.next()
 		if one.server.noteLimit(err) {
 			one.server.noteFailure(one.endpoint.ID)
@@ -274,15 +280,58 @@
 			if err := one.write(events); err != nil {
 				return err
 			}
+			// Comments are no progress: an engine may send them while its generation is stalled.
+			if one.events > before {
+				wat.progress()
+			}
 			continue
 		}
 		if errors.Is(err, io.EOF) {
 			return one.finish()
 		}
+		if one.link.silent.Load() {
+			return errSilent
+		}
 		return err
 	}
 }
 
+// silenceWatch closes the link of a stream without events: after the callers' patience, and before that if the stream can
+// be continued at another engine.
+type silenceWatch struct {
+	patience       time.Duration
+	stall, silence *time.Timer
+}
+
+func (one *run) watchSilence() *silenceWatch {
+	wat := &silenceWatch{patience: one.patience()}
+	wat.stall = one.link.CloseWhenSilent(wat.patience, func() bool { return true })
+	if one.route.Resumable && one.sends < one.route.Attempts {
+		wat.silence = one.link.CloseWhenSilent(max(silenceLimit, one.firstEventTimeout()), one.server.giveUp(one.request, one.endpoint.ID, one.work))
+	}
+	return wat
+}
+
+// progress starts the times anew.
+func (wat *silenceWatch) progress() {
+	wat.stall.Reset(wat.patience)
+	if wat.silence != nil {
+		wat.silence.Reset(silenceLimit)
+	}
+}
+
+func (wat *silenceWatch) stop() {
+	wat.stall.Stop()
+	if wat.silence != nil {
+		wat.silence.Stop()
+	}
+}
+
+// patience returns the time without events after which the callers have left, with a margin.
+func (one *run) patience() time.Duration {
+	return max(minPatience, patienceTargets*one.route.Target, patiencePauses*one.route.PauseTarget) + patienceMargin
+}
+
 // firstEventTimeout returns the time limit for an engine's first event; it is 0 once an event has arrived.
 func (one *run) firstEventTimeout() time.Duration {
 	if one.events > 0 {
--- a/papayacroftd/cmd_gateway.go
+++ b/papayacroftd/cmd_gateway.go
@@ -58,7 +58,8 @@
 			reload(file, dmn)
 		}
 	}()
-	drain, _ := signalContexts(logger)
+	drain, kill := signalContexts(logger)
+	dmn.Kill = kill
 	return trace.Wrap(dmn.Run(drain))
 }
 
