Prove relays, readers and limits by taking each mechanism out

Cause: make proof knew scripts of gateway only, and no test showed that a frozen relay must be replaced: daemons that read the store themselves hid it. TestFleet/relaysFrozen turns all but the readers away and freezes a third of the others; added endpoints are awaited too. With leaving endpoints in place of new ones the same case took up to 8 s: a daemon that the store turns away keeps removed entries while its own reads fail (outageGrace), which is the rule for lapsed entries.

--- a/exchange/fleet_test.go
+++ b/exchange/fleet_test.go
@@ -46,7 +46,8 @@
 	// Publish is the version of a new configuration.
 	Publish int64
 	// Kill, Freeze and TurnAway affect daemons: "reader" and "relay" are the first readers of the
-	// endpoints and of the configuration, "successors" the first four readers of the configuration, "third" every third.
+	// endpoints and of the configuration, "successors" the first four readers of the configuration, "others" all but the
+	// first readers, "third" and "thirdOfOthers" every third.
 	Kill, Freeze, TurnAway string
 	// Add is the number of endpoints that start, Remove the share of those present whose entries are removed.
 	Add    int
@@ -68,7 +69,8 @@
 
 // fleetBounds are the bounds of a case; a zero bound is not checked.
 type fleetBounds struct {
-	// InForce and Known are the times until each reachable daemon has a published version and knows of removed endpoints.
+	// InForce and Known are the times until each reachable daemon has a published version, and knows of added and removed
+	// endpoints.
 	InForce, Known time.Duration
 	// Growth is the greatest ratio between the largest and the smallest size of messages and of bytes a daemon.
 	Growth float64
@@ -121,13 +123,13 @@
 
 func (bnd *fleetBounds) check(t *testing.T, results []fleetResult) {
 	for _, res := range results {
-		t.Logf("%d daemons: %.1f messages/s, %.0f B/s, %.1f connections a daemon, %.0f calls to the store, in force after %v, removal known after %v",
+		t.Logf("%d daemons: %.1f messages/s, %.0f B/s, %.1f connections a daemon, %.0f calls to the store, in force after %v, endpoints known after %v",
 			res.daemons, res.messages, res.bytes, res.connections, res.calls, res.inForce, res.known)
 		if bnd.InForce > 0 && res.inForce > bnd.InForce {
 			t.Errorf("%d daemons: got a version in force after %v, want %v at most", res.daemons, res.inForce, bnd.InForce)
 		}
 		if bnd.Known > 0 && res.known > bnd.Known {
-			t.Errorf("%d daemons: got a removed endpoint known after %v, want %v at most", res.daemons, res.known, bnd.Known)
+			t.Errorf("%d daemons: got endpoints known after %v, want %v at most", res.daemons, res.known, bnd.Known)
 		}
 		if most := res.connectionBound(); bnd.Connections && res.connections > most {
 			t.Errorf("%d daemons: got %.1f connections a daemon, want %.1f at most", res.daemons, res.connections, most)
@@ -155,9 +157,7 @@
 
 	mutex     sync.Mutex
 	endpoints []string
-	// removed are the times of removal of endpoints whose removal some daemon does not know of yet.
-	removed map[string]time.Time
-	result  fleetResult
+	result    fleetResult
 }
 
 // fleetDaemon is one simulated daemon.
@@ -169,7 +169,7 @@
 }
 
 func newFleet(t *testing.T, cse *fleetCase, daemons int) *fleet {
-	flt := &fleet{t: t, cse: cse, store: newSimStore(), network: simNet{}, removed: map[string]time.Time{}}
+	flt := &fleet{t: t, cse: cse, store: newSimStore(), network: simNet{}}
 	flt.result.daemons = daemons
 	for i := range daemons {
 		nod := newSimNode(fmt.Sprintf("10.0.%d.%d:7200", i/250, i%250))
@@ -319,7 +319,7 @@
 			dmn.setTurnedAway(false)
 		}
 	case stp.Add > 0:
-		flt.add(stp.Add)
+		flt.awaitListed(flt.add(stp.Add), true)
 	case stp.Remove > 0:
 		flt.remove(stp.Remove)
 	}
@@ -329,8 +329,10 @@
 func (flt *fleet) chosen(which string) []*fleetDaemon {
 	var all []*fleetDaemon
 	for i, dmn := range flt.daemons {
+		others := dmn.Rank(topicOperator) > 0 && dmn.Rank(topicEndpoints) > 0
 		match := map[string]bool{
 			"third": i%3 == 0, "reader": dmn.Rank(topicEndpoints) == 0, "relay": dmn.Rank(topicOperator) == 0, "successors": dmn.Rank(topicOperator) < 4,
+			"others": others, "thirdOfOthers": others && i%3 == 0,
 		}
 		if match[which] {
 			all = append(all, dmn)
@@ -368,18 +370,21 @@
 	return !nod.dead && nod.thawed == nil
 }
 
-func (flt *fleet) add(count int) {
+// add starts endpoints and returns their ids.
+func (flt *fleet) add(count int) []string {
 	flt.mutex.Lock()
 	defer flt.mutex.Unlock()
 	for range count {
 		flt.endpoints = append(flt.endpoints, fmt.Sprintf("i-%08x", rand.Uint32()))
 	}
-	for _, id := range flt.endpoints[len(flt.endpoints)-count:] {
+	added := flt.endpoints[len(flt.endpoints)-count:]
+	for _, id := range added {
 		flt.store.put(topicEndpoints, id, entry(id))
 	}
+	return added
 }
 
-// remove removes the entries of a share of the endpoints, and records the time until all daemons know.
+// remove removes the entries of a share of the endpoints, and waits until all daemons know.
 func (flt *fleet) remove(share float64) {
 	flt.mutex.Lock()
 	count := int(share * float64(len(flt.endpoints)))
@@ -391,11 +396,16 @@
 	for _, id := range gone {
 		flt.store.put(topicEndpoints, id, nil)
 	}
+	flt.awaitListed(gone, false)
+}
+
+// awaitListed records the time until all daemons that are alive and not frozen list the endpoints, or none of them.
+func (flt *fleet) awaitListed(ids []string, want bool) {
 	began := time.Now()
 	flt.await(func(dmn *fleetDaemon) bool {
 		listed := dmn.Control.Snapshot().Fleet.Endpoints
-		for _, id := range gone {
-			if _, ok := listed[id]; ok {
+		for _, id := range ids {
+			if _, got := listed[id]; got != want {
 				return false
 			}
 		}
--- a/proof/main.go
+++ b/proof/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"os/exec"
@@ -22,8 +23,11 @@
 	// Edits are applied together. Each old text must occur exactly once in its file, so that an edit that no longer
 	// matches the sources is an error.
 	Edits []edit `yaml:"edits"`
-	// Scripts are the test scripts of package gateway that must fail without the mechanism.
+	// Scripts are the test scripts or cases that must fail without the mechanism.
 	Scripts []string `yaml:"scripts"`
+	// Package and Test are where they are; the default is TestScenarios of gateway.
+	Package string `yaml:"package"`
+	Test    string `yaml:"test"`
 }
 
 type edit struct {
@@ -65,6 +69,7 @@
 	}
 	var unproved []string
 	for _, chg := range changes {
+		chg.Package, chg.Test = cmp.Or(chg.Package, "gateway"), cmp.Or(chg.Test, "TestScenarios")
 		if only != "" && chg.Name != only {
 			continue
 		}
@@ -134,8 +139,8 @@
 			}
 		}()
 	}
-	pattern := "^TestScenarios$/^(" + strings.Join(chg.Scripts, "|") + ")$"
-	test := exec.Command("go", "test", "-count=1", "-v", "-run", pattern, "./gateway") //nolint:gosec // the names are the project's own
+	pattern := "^" + chg.Test + "$/^(" + strings.Join(chg.Scripts, "|") + ")$"
+	test := exec.Command("go", "test", "-count=1", "-v", "-run", pattern, "./"+chg.Package) //nolint:gosec // the names are the project's own
 	test.Dir = dir
 	// The error is ignored, because the scripts are expected to fail. If the build fails, no script is reported, which
 	// the check below finds.
@@ -156,4 +161,4 @@
 }
 
 // verdict matches the line in which go test reports the result of one script.
-var verdict = regexp.MustCompile(`--- (PASS|FAIL): TestScenarios/(\S+)`)
+var verdict = regexp.MustCompile(`--- (PASS|FAIL): Test\w+/(\S+)`)
