--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -96,8 +96,9 @@
 	caller, ready, metrics string
 	// denied is true while the store refuses the requests of this daemon.
 	denied atomic.Bool
-	stop   context.CancelFunc
-	done   chan error
+	// stop and kill stand for the first and the second signal.
+	stop, kill context.CancelFunc
+	done       chan error
 }
 
 type siteCall struct {
@@ -160,7 +161,7 @@
 }
 
 func (sit *site) run(args []string) {
-	for _, one := range []func([]string) bool{sit.runSite, sit.runEndpoint, sit.runCaller, sit.runWait, sit.runFleet, sit.checkTraffic, sit.checkAnswer, sit.checkRuns} {
+	for _, one := range []func([]string) bool{sit.runSite, sit.runStop, sit.runEndpoint, sit.runCaller, sit.runWait, sit.runFleet, sit.checkTraffic, sit.checkAnswer, sit.checkRuns} {
 		if one(args) {
 			return
 		}
@@ -189,9 +190,27 @@
 		for number := range sit.number(args[1]) {
 			sit.startDaemon(fmt.Sprintf("d%d", number+1), args[2])
 		}
-	case "stop": // stop DAEMON: begins a planned stop
+	case "elapse":
+		time.Sleep(sit.duration(args[1]))
+	default:
+		return false
+	}
+	return true
+}
+
+// runStop runs commands for planned stops; it returns false for other commands.
+func (sit *site) runStop(args []string) bool {
+	switch args[0] {
+	case "stop": // stop DAEMON: begins a planned stop, as the first signal does
 		sit.daemons[args[1]].stop()
-	case "stopped": // stopped DAEMON: waits until the daemon has ended without an error
+	case "kill": // kill DAEMON: ends a planned stop, as the second signal does
+		sit.daemons[args[1]].kill()
+	case "stopped": // stopped DAEMON [DURATION]: waits until the daemon has ended without an error, after at most this time
+		defer func(began time.Time) {
+			if len(args) > 2 && time.Since(began) > sit.duration(args[2]) {
+				sit.fatalf("got the daemon's end after %v, want it within %s", time.Since(began), args[2])
+			}
+		}(time.Now())
 		sit.await("the daemon to end", func() bool {
 			select {
 			case err := <-sit.daemons[args[1]].done:
@@ -200,8 +219,6 @@
 				return false
 			}
 		})
-	case "elapse":
-		time.Sleep(sit.duration(args[1]))
 	default:
 		return false
 	}
@@ -514,6 +531,7 @@
 	dmn.Settings, dmn.Logger = set, logger
 	platform.Attach(dmn)
 	ctx, cancel := context.WithCancel(context.Background())
+	dmn.Kill, one.kill = context.WithCancel(context.Background())
 	one.Daemon = dmn
 	one.caller, one.ready, one.metrics, one.stop = set.CallerAddress, set.ReadyAddress, set.MetricsAddress, cancel
 	sit.daemons[name] = one
