--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -107,7 +107,7 @@
 	mutex sync.Mutex
 	// changed are the engines for which this daemon's work has changed since it was last sent.
 	changed map[string]bool
-	// failures are the peers whose last call failed, by address; failureChanges counts changes of which these are.
+	// failures are the peers whose last call failed, by address; failureChanges counts the times that a peer was added or removed.
 	failures       map[string]*peerFailure
 	failureChanges int64
 	lastRoster     *roster
@@ -147,7 +147,7 @@
 		exc.receiveTopic(part)
 		return nil
 	})
-	// Leaving endpoints are also told to a single peer whose gossip shows that it does not know of them.
+	// A peer whose gossip shows that it lacks leaving endpoints gets them directly.
 	srv.Handlers[leavingMethod] = exc.broadcasts[leavingMethod]
 	srv.Handlers[broadcastMethod] = func(ctx context.Context, params json.RawMessage) (any, error) {
 		var msg broadcast
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -323,21 +322,6 @@
 	return srv.Budget.Spend(srv.Now(), rqs.service)
 }
 
-// giveUp returns a function that decides, once an endpoint is silent, whether to give it up: only if there is another
-// endpoint and a retry is left, which it takes from the budget. The endpoint may be slow but sound.
-func (srv *Server) giveUp(rqs *request, id string, wrk dispatch.Work) func() bool {
-	excluded := maps.Clone(rqs.excluded)
-	excluded[id] = true
-	return func() bool {
-		cho := srv.decide(srv.Now(), &dispatch.Request{Service: rqs.service, Work: wrk, Target: rqs.route.Target, Excluded: excluded, Force: true})
-		if cho.Endpoint == nil || !srv.spend(rqs) {
-			return false
-		}
-		rqs.prepaid.Store(true)
-		return true
-	}
-}
-
 func (srv *Server) begin(id string, wrk dispatch.Work) *dispatch.Flight {
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
