--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -107,7 +107,8 @@
 	mutex sync.Mutex
 	// changed are the engines for which this daemon's work has changed since it was last sent.
 	changed map[string]bool
-	// failures are the peers whose last call failed, by address; failureChanges counts the times that a peer was added or removed.
+	// failures are the peers whose last call failed, by address; failureChanges counts the times that one was added or
+	// removed.
 	failures       map[string]*peerFailure
 	failureChanges int64
 	lastRoster     *roster
@@ -181,7 +182,7 @@
 func (exc *Exchange) Run(ctx context.Context) {
 	ticker := time.NewTicker(exchangeInterval)
 	defer ticker.Stop()
-	for turn := rand.Int(); ; turn++ {
+	for turn := rand.IntN(maxNeighbours); ; turn++ {
 		select {
 		case <-ctx.Done():
 			return
