Send a broadcast directly after two relays that do not confirm it

Cause: a relay that is slow but alive relays a message too, so each further relay of its group repeats the whole part: up to 37 relays a group at 295 daemons whose processors are short, as at a start. Change: two relays a group at most, 0.2 s each; then the rest gets the message directly.

--- a/exchange/broadcast.go
+++ b/exchange/broadcast.go
@@ -11,7 +11,9 @@
 const (
 	broadcastMethod = "gateway.broadcast"
 	// relayTimeout limits the wait until a relay has confirmed a broadcast; then the next daemon of its group relays.
-	relayTimeout = 150 * time.Millisecond
+	relayTimeout = 200 * time.Millisecond
+	// maxRelays is the number of daemons of a group that are tried as its relay.
+	maxRelays = 2
 )
 
 // broadcast is a message to all daemons. Each receiver handles it and relays it to the addressees it is given.
@@ -39,17 +41,20 @@
 }
 
 // relayGroup sends a broadcast to the first daemon of a group, which relays it to the others. If that one does not
-// confirm it in time, the next one gets it.
+// confirm it in time, the next one gets it. A relay that is only slow relays it too, so after maxRelays of them the
+// message goes to the others directly: each further relay would double what the slow ones have to carry.
 func (exc *Exchange) relayGroup(ctx context.Context, msg *broadcast, group []string) {
+	tried := 0
 	for i, address := range group {
-		rest := group[i+1:]
 		if exc.backsOff(address, exc.Now()) {
 			continue
 		}
-		if len(rest) == 0 {
+		rest := group[i+1:]
+		if len(rest) == 0 || tried == maxRelays {
 			exc.notify(ctx, address, broadcastMethod, &broadcast{Method: msg.Method, Params: msg.Params})
-			return
+			continue
 		}
+		tried++
 		callCtx, cancel := context.WithTimeout(ctx, relayTimeout)
 		err := exc.Client.Call(callCtx, address, broadcastMethod, &broadcast{Method: msg.Method, Params: msg.Params, Forward: rest}, nil)
 		cancel()
