Log the prompt parts and the received events of a request whose endpoint crashed

Cause: the line 'endpoint crashed while it ran the request' could not tell a request that comes again from different requests with a common part, nor either from engines that fail under moved load. Change: the line has the ids of the prompt's parts and the number of events that had arrived.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -42,8 +42,8 @@
 
 // checkCrash checks in the background whether an endpoint that broke off an answer has crashed, that is, whether it
 // accepts no connections. It does nothing if the endpoint is known to leave, or if the caller disconnected or the deadline
-// passed.
-func (srv *Server) checkCrash(ctx context.Context, rqs *request, edp *catalog.Endpoint) {
+// passed. events is the number of events of the request's stream before it broke off.
+func (srv *Server) checkCrash(ctx context.Context, rqs *request, edp *catalog.Endpoint, events int) {
 	if ctx.Err() != nil {
 		return
 	}
@@ -58,7 +58,7 @@
 			_ = con.Close()
 			return
 		}
-		rqs.logger.WithFields(logrus.Fields{fieldEndpoint: edp.ID}).WithError(err).Warn("endpoint crashed while it ran the request")
+		rqs.logger.WithFields(logrus.Fields{fieldEndpoint: edp.ID, "parts": partIDs(rqs.Parts), "events": events}).WithError(err).Warn("endpoint crashed while it ran the request")
 		srv.NoteCrash(found)
 		if srv.OnCrash != nil {
 			srv.OnCrash(found)
@@ -66,6 +66,15 @@
 	}()
 }
 
+// partIDs returns the ids of the parts of a prompt, for logs.
+func partIDs(parts []Part) []string {
+	ids := make([]string, 0, len(parts))
+	for _, part := range parts {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // NoteCrash records that a request crashed an endpoint.
 func (srv *Server) NoteCrash(found exchange.Crash) {
 	srv.mutex.Lock()
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -177,7 +177,7 @@
 	rqs.sends++
 	if err != nil {
 		if !srv.noteLimit(err) {
-			srv.checkCrash(ctx, rqs, edp)
+			srv.checkCrash(ctx, rqs, edp, 0)
 		}
 		return nil, outcomeUnknown, err
 	}
@@ -191,7 +191,7 @@
 	if err == nil {
 		err = checkAnswer(rqs, ans)
 	} else if !srv.noteLimit(err) {
-		srv.checkCrash(ctx, rqs, edp)
+		srv.checkCrash(ctx, rqs, edp, 0)
 	}
 	srv.noteAnswer(edp.ID, ans, err == nil && lnk.Response.StatusCode < 500)
 	if err != nil {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -86,7 +86,7 @@
 		}
 		rqs.logger.WithError(err).WithFields(logrus.Fields{fieldEndpoint: one.endpoint.ID, "events": one.events}).Info("stream interrupted")
 		if !one.isMoving() {
-			srv.checkCrash(ctx, rqs, one.endpoint)
+			srv.checkCrash(ctx, rqs, one.endpoint, one.events)
 		}
 		if ctx.Err() == nil && !srv.condemned(srv.Now(), rqs) && one.resume(ctx) {
 			continue
@@ -204,7 +204,7 @@
 		}
 		rqs.sends++
 		if !srv.noteLimit(err) {
-			srv.checkCrash(ctx, rqs, edp)
+			srv.checkCrash(ctx, rqs, edp, one.events)
 		}
 		return outcomeUnknown, err
 	}
