--- /dev/null
+++ b/gateway/scenario_prompt_test.go
@@ -0,0 +1,32 @@
+package gateway_test
+
+// runPrompt runs commands for prompts that crash engines; it returns false for other commands.
+func (sit *site) runPrompt(args []string) bool {
+	switch args[0] {
+	case "deadly": // deadly PART: from now on, a request with this part in its prompt crashes each engine that begins to answer it
+		sit.pool.SetDeadlyPart(args[1])
+	case "prompt": // prompt NAME DAEMON ROUTE EVENTS PARTS: starts a request for a stream whose prompt has these parts
+		sit.startPrompt(args[1], args[2], "/"+args[3]+"/x?events="+args[4], args[5], nil)
+	case "finished": // finished CALL: waits until the call has ended in any way
+		sit.finished(args[1])
+	case "replaceCrashed": // replaceCrashed: removes the entry of each crashed engine and starts a new engine in its place
+		sit.replaceCrashed()
+	default:
+		return false
+	}
+	return true
+}
+
+func (sit *site) replaceCrashed() {
+	var crashed []string
+	for id, edp := range sit.engines {
+		if edp.crashed.Swap(false) {
+			crashed = append(crashed, id)
+		}
+	}
+	for _, id := range crashed {
+		edp := sit.engines[id]
+		sit.store.Put("keyed.servers", id, nil)
+		sit.startEngine([]string{id + "n", edp.service, edp.domain})
+	}
+}
--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -89,6 +89,8 @@
 	domain    string
 	born      int64
 	beats     int
+	// crashed is true after a crash until replaceCrashed.
+	crashed atomic.Bool
 }
 
 type siteDaemon struct {
@@ -161,7 +163,7 @@
 }
 
 func (sit *site) run(args []string) {
-	for _, one := range []func([]string) bool{sit.runSite, sit.runStop, sit.runEndpoint, sit.runCaller, sit.runWait, sit.runFleet, sit.checkTraffic, sit.checkAnswer, sit.checkRuns} {
+	for _, one := range []func([]string) bool{sit.runSite, sit.runStop, sit.runEndpoint, sit.runCaller, sit.runWait, sit.runFleet, sit.runPrompt, sit.checkTraffic, sit.checkAnswer, sit.checkRuns} {
 		if one(args) {
 			return
 		}
@@ -425,7 +427,10 @@
 	edp.server = httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
 		edp.answering.Load().ServeHTTP(wri, req)
 	}))
-	edp.Crash = func() { _ = edp.server.Listener.Close() }
+	edp.Crash = func() {
+		edp.crashed.Store(true)
+		_ = edp.server.Listener.Close()
+	}
 	sit.pool.Put(edp.server.Listener.Addr().String(), edp.SiteEngine)
 	sit.engines[args[0]] = edp
 	sit.beat(args[0], "ready")
@@ -546,10 +551,15 @@
 }
 
 func (sit *site) startCall(name, daemon, target string, key []string) {
+	sit.startPrompt(name, daemon, target, "", key)
+}
+
+// startPrompt starts a request; prompt has the ids of its parts, separated by commas.
+func (sit *site) startPrompt(name, daemon, target, prompt string, key []string) {
 	ctx, cancel := context.WithCancel(context.Background())
 	cal := &siteCall{id: "id-" + name, cancel: cancel, done: make(chan struct{})}
 	sit.calls[name] = cal
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+sit.daemons[daemon].caller+target, strings.NewReader("body of "+target))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+sit.daemons[daemon].caller+target, strings.NewReader("body of "+target+prompt))
 	if err != nil {
 		sit.fatalf("%v", err)
 	}
@@ -557,6 +567,9 @@
 	req.Header.Set("Attempt-Id", cal.id)
 	req.Header.Set("Token-Usage", "100,400")
 	req.Header.Set("Tenant", "forged")
+	if prompt != "" {
+		req.Header.Set("Prompt-Prefix", strings.ReplaceAll(prompt, ",", ":50,")+":50")
+	}
 	credential := "key-one"
 	if len(key) > 0 {
 		credential = key[0]
--- a/standin/siteengine.go
+++ b/standin/siteengine.go
@@ -278,6 +278,11 @@
 	if mode != EngineUnsigned {
 		hdr.Set("Response-Signature", "signed."+sen.ID)
 	}
+	if sen.Site.isDeadly(req.Header.Get("Prompt-Prefix")) {
+		wri.Header().Set("Content-Type", "text/event-stream")
+		_ = http.NewResponseController(wri).Flush()
+		mode = EngineCrashes
+	}
 	if mode == EngineCrashes {
 		sen.Crash()
 		panic(http.ErrAbortHandler)
--- a/standin/siteengines.go
+++ b/standin/siteengines.go
@@ -1,11 +1,16 @@
 package standin
 
-import "sync"
+import (
+	"strings"
+	"sync"
+)
 
 // SiteEngines holds the engines of a site by address.
 type SiteEngines struct {
 	mutex   sync.Mutex
 	engines map[string]*SiteEngine
+	// deadly is the part of a prompt that crashes each engine that begins to answer it; empty means none.
+	deadly string
 }
 
 // NewSiteEngines returns a site without engines.
@@ -38,3 +43,22 @@
 	}
 	return all
 }
+
+// SetDeadlyPart makes each engine crash that begins to answer a request with this part in its prompt.
+func (ses *SiteEngines) SetDeadlyPart(id string) {
+	ses.mutex.Lock()
+	defer ses.mutex.Unlock()
+	ses.deadly = id
+}
+
+// isDeadly reports whether a prompt, given as the header of its parts, contains the deadly part.
+func (ses *SiteEngines) isDeadly(prompt string) bool {
+	ses.mutex.Lock()
+	defer ses.mutex.Unlock()
+	for _, part := range strings.Split(prompt, ",") {
+		if id, _, _ := strings.Cut(part, ":"); id != "" && id == ses.deadly {
+			return true
+		}
+	}
+	return false
+}
