Blame crashes of engines on parts of prompts and refuse requests with them

Callers saw: up to a third of the quote drafts cut in the answer, as engine after engine crashed. Cause: quarantine by identity of the whole request. The digest of a request never counts two crashes if the requests differ, and a crash was held against every request at the engine, those that had run there for seconds included. Change: a crash is blamed on the parts, but the last, of the request that the engine had just begun to answer. An event clears the parts of its request. Daemons tell each other of crashes with their parts and of blamed parts that are sound. Two crashes condemn a part; a request with only some of several suspected parts is tried. A resumable stream that crashed its engine so is not sent to another one.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -44,6 +44,8 @@
 	Usage map[string]dispatch.Usage `json:"usage,omitempty"`
 	// Crashes are requests that crashed endpoints.
 	Crashes []Crash `json:"crashes,omitempty"`
+	// SoundParts are blamed parts of prompts that are known to be sound.
+	SoundParts SoundParts `json:"soundParts,omitempty"`
 	// Leaving has the start times of endpoints that leave, by id.
 	Leaving map[string]int64 `json:"leaving,omitempty"`
 	// LeavingSum is a hash of the endpoints that leave. Gossip carries it in place of Leaving.
@@ -63,8 +65,18 @@
 	// Digest identifies the request; it is the same when the caller sends it again.
 	Digest   uint64 `json:"digest,string"`
 	Endpoint string `json:"endpoint"`
+	// AgeMS is the time since the crash in ms.
+	AgeMS int64 `json:"ageMs"`
+	// Parts are the parts of the request's prompt that other requests may have in common with it. They are empty if the
+	// request had an event before the crash.
+	Parts []string `json:"parts,omitempty"`
+	// Begun is true if the endpoint had just begun to answer the request.
+	Begun bool `json:"begun,omitempty"`
 }
 
+// SoundParts has the time since the latest event of a request with a part, in ms, by the part's id.
+type SoundParts map[string]int64
+
 // Requests is the state of the requests that this daemon serves, as far as other daemons need it.
 type Requests interface {
 	// Draining reports whether the daemon has received the signal to stop.
@@ -77,6 +89,9 @@
 	// Crashes returns recent crashes, NoteCrash records one.
 	Crashes(now time.Time) []Crash
 	NoteCrash(found Crash)
+	// SoundParts returns blamed parts of prompts that are known to be sound, NoteSoundParts records some.
+	SoundParts(now time.Time) SoundParts
+	NoteSoundParts(parts SoundParts)
 }
 
 // Exchange gossips with other daemons: it exchanges load, endpoints that leave, crashes and configuration versions, and
@@ -144,6 +159,10 @@
 		exc.Requests.NoteCrash(*found)
 		return nil
 	})
+	exc.broadcasts[soundMethod] = answer(func(_ context.Context, parts *SoundParts) any {
+		exc.Requests.NoteSoundParts(*parts)
+		return nil
+	})
 	exc.broadcasts[topicMethod] = answer(func(_ context.Context, part *TopicPart) any {
 		exc.receiveTopic(part)
 		return nil
@@ -206,7 +225,7 @@
 	leaving := exc.leaving(snp)
 	msg := &message{
 		Name: exc.Name, Address: exc.Address, FailureDomain: exc.FailureDomain, Draining: exc.Requests.Draining(),
-		Crashes: exc.Requests.Crashes(exc.Now()), Version: snp.Version(), LeavingSum: leavingSum(leaving),
+		Crashes: exc.Requests.Crashes(exc.Now()), SoundParts: exc.Requests.SoundParts(exc.Now()), Version: snp.Version(), LeavingSum: leavingSum(leaving),
 	}
 	// In a larger fleet, a neighbour rarely uses the same engines.
 	if len(exc.Members()) <= engineUsers {
@@ -271,6 +290,7 @@
 func (exc *Exchange) receive(ctx context.Context, msg *message) *messageReply {
 	exc.heard(msg.Name)
 	exc.Requests.SetPeerUsage(exc.Now(), msg.Name, msg.Usage)
+	exc.Requests.NoteSoundParts(msg.SoundParts)
 	for _, found := range msg.Crashes {
 		exc.Requests.NoteCrash(found)
 	}
--- a/exchange/fleet_test.go
+++ b/exchange/fleet_test.go
@@ -433,4 +433,6 @@
 func (idleRequests) UsageAt(string) dispatch.Usage                             { return dispatch.Usage{Flights: 1, Tokens: 4000} }
 func (idleRequests) SetPeerUsage(time.Time, string, map[string]dispatch.Usage) {}
 func (idleRequests) Crashes(time.Time) []exchange.Crash                        { return nil }
+func (idleRequests) SoundParts(time.Time) exchange.SoundParts                  { return nil }
+func (idleRequests) NoteSoundParts(exchange.SoundParts)                        {}
 func (idleRequests) NoteCrash(exchange.Crash)                                  {}
--- a/exchange/notices.go
+++ b/exchange/notices.go
@@ -12,6 +12,7 @@
 	workMethod  = "gateway.work"
 	topicMethod = "gateway.topic"
 	crashMethod = "gateway.crash"
+	soundMethod = "gateway.sound"
 	// leavingMethod announces endpoints that reported themselves that they leave. Leaving that follows from an entry in
 	// the store is not announced: it reaches all daemons with the topic.
 	leavingMethod = "gateway.leaving"
@@ -29,6 +30,11 @@
 	exc.broadcast(context.Background(), crashMethod, found)
 }
 
+// ShareSoundParts tells all peers that blamed parts of prompts are sound.
+func (exc *Exchange) ShareSoundParts(parts SoundParts) {
+	exc.broadcast(context.Background(), soundMethod, parts)
+}
+
 // ShareLeaving tells all peers that endpoints leave; bornAt has the start time of each by id.
 func (exc *Exchange) ShareLeaving(bornAt map[string]int64) {
 	exc.broadcast(context.Background(), leavingMethod, &message{Name: exc.Name, Leaving: bornAt})
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"papayacroft/catalog"
+	"papayacroft/dispatch"
 	"papayacroft/exchange"
 )
 
@@ -20,8 +23,23 @@
 	maxSharedCrashes = 32
 	// condemnedRetry is the Retry-After of requests that are refused because they crashed several endpoints.
 	condemnedRetry = 30 * time.Second
+	// begunTime is how long after the head of its answer a stream without an event counts as just begun.
+	begunTime = 250 * time.Millisecond
+	// maxSoundDelay is the longest delay before a daemon tells the others that blamed parts are sound.
+	maxSoundDelay = 250 * time.Millisecond
+	// maxSharedParts limits the parts of a prompt that crashes are blamed on, maxPartBytes the length of a part's id.
+	maxSharedParts = 32
+	maxPartBytes   = 64
 )
 
+// interruption describes an answer that broke off.
+type interruption struct {
+	// events is the number of events that had arrived.
+	events int
+	// begun is true if the endpoint had just sent the head of the answer and no event.
+	begun bool
+}
+
 // digest returns a hash of the parts of a request that stay the same when its caller retries it.
 func (rqs *request) digest() uint64 {
 	sum := xxhash.New()
@@ -33,37 +51,68 @@
 	return sum.Sum64()
 }
 
-// condemned reports whether the request has crashed several endpoints.
-func (srv *Server) condemned(now time.Time, rqs *request) bool {
+// sharedParts returns the ids of the parts of a prompt that other requests may have too: all but the last one.
+func sharedParts(parts []Part) []string {
+	var ids []string
+	for _, part := range parts[:max(0, len(parts)-1)] {
+		if len(part.ID) <= maxPartBytes && len(ids) < maxSharedParts {
+			ids = append(ids, part.ID)
+		}
+	}
+	return ids
+}
+
+// refuseCondemned refuses a request that crashed several endpoints, or whose prompt has a part with which other requests
+// crashed some.
+func (srv *Server) refuseCondemned(now time.Time, rqs *request) *refusal {
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
-	return srv.Suspects.Condemned(now, rqs.digest())
+	if srv.Suspects.Condemned(now, rqs.digest()) {
+		return notRun(condemnedRetry, "the request crashed several endpoints")
+	}
+	if rqs.trial {
+		return nil
+	}
+	part, trial := srv.Blame.Condemned(now, sharedParts(rqs.Parts))
+	if part != "" {
+		return notRun(condemnedRetry, "requests with part %s of the prompt crashed several endpoints", part)
+	}
+	rqs.trial = trial
+	return nil
 }
 
 // checkCrash checks in the background whether an endpoint that broke off an answer has crashed, that is, whether it
 // accepts no connections. It does nothing if the endpoint is known to leave, or if the caller disconnected or the deadline
-// passed. events is the number of events of the request's stream before it broke off.
-func (srv *Server) checkCrash(ctx context.Context, rqs *request, edp *catalog.Endpoint, events int) {
-	if ctx.Err() != nil {
-		return
+// passed. The returned channel gets the result.
+func (srv *Server) checkCrash(ctx context.Context, rqs *request, edp *catalog.Endpoint, end interruption) <-chan bool {
+	crashed := make(chan bool, 1)
+	_, leaving := srv.Snapshots.Snapshot().Fleet.Leaving[edp.ID]
+	if ctx.Err() != nil || leaving {
+		crashed <- false
+		return crashed
 	}
-	if _, leaving := srv.Snapshots.Snapshot().Fleet.Leaving[edp.ID]; leaving {
-		return
+	found := exchange.Crash{Digest: rqs.digest(), Endpoint: edp.ID, Begun: end.begun}
+	if end.events == 0 {
+		found.Parts = sharedParts(rqs.Parts)
 	}
-	found := exchange.Crash{Digest: rqs.digest(), Endpoint: edp.ID}
+	broken := srv.Now()
 	go func() {
 		time.Sleep(crashCheckDelay)
 		con, err := net.DialTimeout("tcp", edp.Address, dialTimeout)
+		crashed <- err != nil
 		if err == nil {
 			_ = con.Close()
 			return
 		}
-		rqs.logger.WithFields(logrus.Fields{fieldEndpoint: edp.ID, "parts": partIDs(rqs.Parts), "events": events}).WithError(err).Warn("endpoint crashed while it ran the request")
+		rqs.logger.WithFields(logrus.Fields{fieldEndpoint: edp.ID, "parts": partIDs(rqs.Parts), fieldEvents: end.events, "begun": end.begun}).
+			WithError(err).Warn("endpoint crashed while it ran the request")
+		found.AgeMS = srv.Now().Sub(broken).Milliseconds()
 		srv.NoteCrash(found)
 		if srv.OnCrash != nil {
 			srv.OnCrash(found)
 		}
 	}()
+	return crashed
 }
 
 // partIDs returns the ids of the parts of a prompt, for logs.
@@ -77,9 +126,19 @@
 
 // NoteCrash records that a request crashed an endpoint.
 func (srv *Server) NoteCrash(found exchange.Crash) {
+	now := srv.Now()
 	srv.mutex.Lock()
-	defer srv.mutex.Unlock()
-	srv.Suspects.Crashed(srv.Now(), found.Digest, found.Endpoint)
+	srv.Suspects.Crashed(now, found.Digest, found.Endpoint)
+	condemned := srv.Blame.Crashed(now, now.Add(-milliseconds(found.AgeMS)), dispatch.PartCrash{
+		Endpoint: found.Endpoint, Digest: found.Digest, Parts: found.Parts, Begun: found.Begun,
+	})
+	srv.mutex.Unlock()
+	if len(condemned) > 0 {
+		srv.Logger.WithFields(logrus.Fields{"parts": condemned, fieldEndpoint: found.Endpoint}).Warn("requests with these parts of a prompt are refused: they crash endpoints")
+	}
+	if len(found.Parts) > 0 {
+		srv.shareSound()
+	}
 }
 
 // Crashes returns up to maxSharedCrashes recorded crashes; gossip carries them to peers that missed the broadcast.
@@ -87,10 +146,77 @@
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
 	var found []exchange.Crash
-	srv.Suspects.Each(now, func(digest uint64, endpoint string) {
+	for at, rep := range srv.Blame.Crashes() {
 		if len(found) < maxSharedCrashes {
+			found = append(found, exchange.Crash{Digest: rep.Digest, Endpoint: rep.Endpoint, AgeMS: now.Sub(at).Milliseconds(), Parts: rep.Parts, Begun: rep.Begun})
+		}
+	}
+	srv.Suspects.Each(now, func(digest uint64, endpoint string) {
+		same := func(one exchange.Crash) bool { return one.Digest == digest && one.Endpoint == endpoint }
+		if len(found) < maxSharedCrashes && !slices.ContainsFunc(found, same) {
 			found = append(found, exchange.Crash{Digest: digest, Endpoint: endpoint})
 		}
 	})
 	return found
 }
+
+// noteSound records that an engine has produced the first event of a request.
+func (srv *Server) noteSound(now time.Time, rqs *request) {
+	srv.mutex.Lock()
+	blamed := srv.Blame.Sound(now, now, sharedParts(rqs.Parts))
+	srv.mutex.Unlock()
+	if blamed {
+		srv.shareSound()
+	}
+}
+
+// SoundParts returns blamed parts of prompts that are known to be sound.
+func (srv *Server) SoundParts(now time.Time) exchange.SoundParts {
+	srv.mutex.Lock()
+	defer srv.mutex.Unlock()
+	return inMilliseconds(srv.Blame.SoundParts(now))
+}
+
+// NoteSoundParts records what a peer knows of the soundness of parts.
+func (srv *Server) NoteSoundParts(parts exchange.SoundParts) {
+	now := srv.Now()
+	srv.mutex.Lock()
+	defer srv.mutex.Unlock()
+	for id, age := range parts {
+		srv.Blame.Sound(now, now.Add(-milliseconds(age)), []string{id})
+		srv.Blame.Shared(now, map[string]time.Duration{id: milliseconds(age)})
+	}
+}
+
+// shareSound tells the other daemons which blamed parts are sound. It waits for a random time, so that one of the
+// daemons that know it comes before most of the others.
+func (srv *Server) shareSound() {
+	if srv.OnSoundParts == nil || !srv.sharing.CompareAndSwap(false, true) {
+		return
+	}
+	time.AfterFunc(rand.N(maxSoundDelay), func() {
+		srv.sharing.Store(false)
+		now := srv.Now()
+		srv.mutex.Lock()
+		news := inMilliseconds(srv.Blame.News(now))
+		srv.mutex.Unlock()
+		if len(news) > 0 {
+			srv.OnSoundParts(news)
+		}
+	})
+}
+
+func inMilliseconds(ages map[string]time.Duration) exchange.SoundParts {
+	if len(ages) == 0 {
+		return nil
+	}
+	parts := exchange.SoundParts{}
+	for id, age := range ages {
+		parts[id] = age.Milliseconds()
+	}
+	return parts
+}
+
+func milliseconds(count int64) time.Duration {
+	return time.Duration(count) * time.Millisecond
+}
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -126,7 +126,7 @@
 	dmn.Exchange.FailureDomain = set.FailureDomain
 	srv.HasNeighbour = dmn.Exchange.HasNeighbour
 	srv.OwnEngines = dmn.Exchange.OwnEngines
-	srv.OnCrash = dmn.Exchange.ShareCrash
+	srv.OnCrash, srv.OnSoundParts = dmn.Exchange.ShareCrash, dmn.Exchange.ShareSoundParts
 	srv.OnWork = dmn.Exchange.WorkChanged
 	dmn.Prober.Name, dmn.Prober.Control, dmn.Prober.Exchange, dmn.Prober.Engines, dmn.Prober.Logger = set.Name, dmn.Control, dmn.Exchange, srv.Engines, dmn.Logger
 	dmn.Exchange.Address = set.PeerAddress
--- a/gateway/fields.go
+++ b/gateway/fields.go
@@ -4,5 +4,6 @@
 const (
 	fieldEndpoint = "endpoint"
 	fieldElapsed  = "elapsed"
+	fieldEvents   = "events"
 	fieldOutcome  = "outcome"
 )
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -92,6 +92,11 @@
 		return usage.Seconds()
 	})
 	gauge("repeats_left", "Repeats left in the window, of the service with the fewest.", func(*control.Snapshot) float64 { return dmn.Server.repeatsLeft() })
+	gauge("condemned_parts", "Parts of prompts whose requests are refused because they crash endpoints.", func(*control.Snapshot) float64 {
+		dmn.Server.mutex.Lock()
+		defer dmn.Server.mutex.Unlock()
+		return float64(dmn.Server.Blame.CondemnedCount())
+	})
 	gauge("draining", "1 from the signal to stop on.", func(*control.Snapshot) float64 {
 		if dmn.Server.Draining() {
 			return 1
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -237,7 +237,7 @@
 		res = rest
 	}
 	log.WithFields(logrus.Fields{
-		"rounds": rounds, "copy": copied.Sub(began), "rest": one.server.Now().Sub(copied), "events": res.Events, "error": errorText(err),
+		"rounds": rounds, "copy": copied.Sub(began), "rest": one.server.Now().Sub(copied), fieldEvents: res.Events, "error": errorText(err),
 	}).Info("generation copied")
 	one.server.Metrics.moves.WithLabelValues("copied").Inc()
 	one.mutex.Lock()
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -51,6 +51,8 @@
 	mayHaveRun bool
 	// unreached is the number of endpoints to which no connection was made.
 	unreached int
+	// condemned is why the request must not be sent any more; nil if it may.
+	condemned *refusal
 	// noEndpoint is the reason why no endpoint could be chosen; empty if one was chosen each time.
 	noEndpoint string
 	// retryAfter is the Retry-After for the caller if the request has not run.
@@ -86,6 +88,8 @@
 		return expired("no answer before the deadline")
 	case trs.mayHaveRun:
 		return failed("the endpoint's answer was lost")
+	case trs.condemned != nil:
+		return trs.condemned
 	case trs.noEndpoint != "":
 		return notRun(trs.retryAfter, "no endpoint takes work: %s", trs.noEndpoint)
 	}
@@ -99,6 +103,9 @@
 		trs.noEndpoint = cho.String()
 		return false
 	}
+	if trs.condemned = srv.refuseCondemned(srv.Now(), rqs); trs.condemned != nil {
+		return false
+	}
 	ans, res, err := srv.sendCall(ctx, rqs, cho.Endpoint)
 	srv.logSend(rqs, &cho, res, ans.status(), err)
 	if res == outcomeAnswered {
@@ -177,7 +184,7 @@
 	rqs.sends++
 	if err != nil {
 		if !srv.noteLimit(err) {
-			srv.checkCrash(ctx, rqs, edp, 0)
+			srv.checkCrash(ctx, rqs, edp, interruption{})
 		}
 		return nil, outcomeUnknown, err
 	}
@@ -191,7 +198,7 @@
 	if err == nil {
 		err = checkAnswer(rqs, ans)
 	} else if !srv.noteLimit(err) {
-		srv.checkCrash(ctx, rqs, edp, 0)
+		srv.checkCrash(ctx, rqs, edp, interruption{})
 	}
 	srv.noteAnswer(edp.ID, ans, err == nil && lnk.Response.StatusCode < 500)
 	if err != nil {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -60,11 +60,15 @@
 	Budget    *dispatch.Budget
 	// Suspects counts the endpoint crashes that each request caused.
 	Suspects *dispatch.Suspects
-	Metrics  *Metrics
-	Logger   logrus.FieldLogger
-	Now      func() time.Time
+	// Blame finds the parts of prompts that crash endpoints.
+	Blame   *dispatch.Blame
+	Metrics *Metrics
+	Logger  logrus.FieldLogger
+	Now     func() time.Time
 	// OnCrash, if set, is called when a request has crashed an endpoint.
 	OnCrash func(found exchange.Crash)
+	// OnSoundParts, if set, is called with blamed parts of prompts that are sound, which other daemons may not know.
+	OnSoundParts func(parts exchange.SoundParts)
 	// DrainNotice is the time from the stop signal to the end of the process.
 	DrainNotice time.Duration
 	// HasNeighbour, if set, reports whether another daemon of the same failure domain accepts requests.
@@ -74,7 +78,7 @@
 	// OnWork, if set, is called when a generation was sent to an engine or has ended there; it must not block.
 	OnWork func(endpoint string)
 
-	// mutex guards Balancer, Budget and Suspects.
+	// mutex guards Balancer, Budget, Suspects and Blame.
 	mutex    sync.Mutex
 	inFlight atomic.Int64
 	// waiting is the number of streams that wait for free capacity at an engine.
@@ -83,11 +87,13 @@
 	drainingSince atomic.Int64
 	streams       *streams
 	buffers       bufferPool
+	// sharing is true while a call of OnSoundParts is due.
+	sharing atomic.Bool
 }
 
 // NewServer returns a server that uses the system clock.
 func NewServer() *Server {
-	return &Server{Now: time.Now, Balancer: dispatch.NewBalancer(), Budget: dispatch.NewBudget(), Suspects: dispatch.NewSuspects(), Metrics: NewMetrics(), streams: newStreams()}
+	return &Server{Now: time.Now, Balancer: dispatch.NewBalancer(), Budget: dispatch.NewBudget(), Suspects: dispatch.NewSuspects(), Blame: dispatch.NewBlame(), Metrics: NewMetrics(), streams: newStreams()}
 }
 
 // InFlight returns the number of requests in flight.
@@ -109,6 +115,8 @@
 	logger       logrus.FieldLogger
 	excluded     map[string]bool
 	sends        int
+	// trial is true if the request runs to show whether a part of its prompt crashes endpoints.
+	trial bool
 	// prepaid is true if a retry was taken from the budget before the silent endpoint was given up.
 	prepaid atomic.Bool
 	// status is the HTTP status of the answer that was relayed to the caller; 0 if the answer is incomplete.
@@ -201,10 +209,7 @@
 	if ref := srv.readBody(now, wri, rqs, cat.Limits.MaxBodyBytes); ref != nil {
 		return ref
 	}
-	if srv.condemned(now, rqs) {
-		return notRun(condemnedRetry, "the request crashed several endpoints")
-	}
-	return nil
+	return srv.refuseCondemned(now, rqs)
 }
 
 // current returns the newest snapshot. After a pause of the process it waits until the store has been read, for
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -43,6 +43,8 @@
 	link     *Link
 	flight   *dispatch.Flight
 	endpoint *catalog.Endpoint
+	// openedAt is when the head of the engine's answer arrived.
+	openedAt time.Time
 	// header is true once the response head was written to the caller.
 	header bool
 	// firstAt and lastAt are the times of the first and the latest event; pause is the longest gap between two events.
@@ -84,11 +86,8 @@
 			rqs.logger.WithField("events", one.events).Info("caller disconnected during the stream")
 			return nil
 		}
-		rqs.logger.WithError(err).WithFields(logrus.Fields{fieldEndpoint: one.endpoint.ID, "events": one.events}).Info("stream interrupted")
-		if !one.isMoving() {
-			srv.checkCrash(ctx, rqs, one.endpoint, one.events)
-		}
-		if ctx.Err() == nil && !srv.condemned(srv.Now(), rqs) && one.resume(ctx) {
+		rqs.logger.WithError(err).WithFields(logrus.Fields{fieldEndpoint: one.endpoint.ID, fieldEvents: one.events}).Info("stream interrupted")
+		if !one.hasCrashed(ctx) && ctx.Err() == nil && srv.refuseCondemned(srv.Now(), rqs) == nil && one.resume(ctx) {
 			continue
 		}
 		if !one.header {
@@ -97,7 +96,7 @@
 			}
 			return failed("the engine broke off before the first event: %v", err)
 		}
-		rqs.logger.WithFields(logrus.Fields{"events": one.events, fieldElapsed: srv.Now().Sub(rqs.begun)}).Warn("stream ended early")
+		rqs.logger.WithFields(logrus.Fields{fieldEvents: one.events, fieldElapsed: srv.Now().Sub(rqs.begun)}).Warn("stream ended early")
 		srv.Metrics.requests.WithLabelValues(rqs.kind(), "0").Inc()
 		// Abort the connection, so that the caller does not take the truncated stream for a complete one.
 		panic(http.ErrAbortHandler)
@@ -136,6 +135,9 @@
 		trs.noEndpoint = cho.String()
 		return false
 	}
+	if trs.condemned = one.server.refuseCondemned(one.server.Now(), one.request); trs.condemned != nil {
+		return false
+	}
 	res, err := one.open(ctx, cho.Endpoint, Forward{LastEvent: one.LastEvent})
 	status := 0
 	if res == outcomeAnswered {
@@ -204,7 +206,7 @@
 		}
 		rqs.sends++
 		if !srv.noteLimit(err) {
-			srv.checkCrash(ctx, rqs, edp, one.events)
+			srv.checkCrash(ctx, rqs, edp, interruption{events: one.events})
 		}
 		return outcomeUnknown, err
 	}
@@ -222,6 +224,7 @@
 		return outcomeUnknown, err
 	}
 	one.link, one.endpoint, one.flight = lnk, edp, flt
+	one.openedAt = srv.Now()
 	srv.streams.add(one)
 	return outcomeAnswered, nil
 }
@@ -299,6 +302,9 @@
 	if one.flight.Work.Prefill > 0 {
 		one.server.started(one.flight)
 	}
+	if count > 0 && one.events == count {
+		one.server.noteSound(one.server.Now(), one.request)
+	}
 	one.observe(one.server.Now())
 	if _, err := one.writer.Write(events); err != nil {
 		return err
@@ -337,7 +343,7 @@
 		one.server.Metrics.pauses.Observe(one.pause.Seconds())
 	}
 	one.logger.WithFields(logrus.Fields{
-		fieldEndpoint: one.endpoint.ID, "events": one.events, fieldElapsed: one.server.Now().Sub(one.begun),
+		fieldEndpoint: one.endpoint.ID, fieldEvents: one.events, fieldElapsed: one.server.Now().Sub(one.begun),
 		"first": one.firstAt.Sub(one.begun), "pause": one.pause, "maxTokens": one.MaxTokens, "hint": one.LengthHint, "prompt": one.PromptTokens,
 	}).Info("stream complete")
 	return nil
@@ -383,6 +389,17 @@
 	return status == http.StatusOK
 }
 
+// hasCrashed starts the check whether the engine of an interrupted stream has crashed. If the engine had just begun to
+// answer, it waits for the result: another engine would probably crash too.
+func (one *run) hasCrashed(ctx context.Context) bool {
+	if one.isMoving() {
+		return false
+	}
+	begun := one.events == 0 && one.server.Now().Sub(one.openedAt) < begunTime
+	crashed := one.server.checkCrash(ctx, one.request, one.endpoint, interruption{events: one.events, begun: begun})
+	return begun && one.route.Repeatable() && <-crashed
+}
+
 // isMoving reports whether a move of the generation to another engine has begun.
 func (one *run) isMoving() bool {
 	one.mutex.Lock()
