Log the limits that endpoints name

Cause: neither logs nor metrics had the header Server-Limit, so a daemon that ignores limits could not be told from daemons that each keep to one alone. The header is not relayed to callers, like Server-Load.

--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -97,6 +97,11 @@
 		defer dmn.Server.mutex.Unlock()
 		return float64(dmn.Server.Blame.CondemnedCount())
 	})
+	gauge("endpoints_limited", "Endpoints that name a limit of requests a second.", func(*control.Snapshot) float64 {
+		dmn.Server.mutex.Lock()
+		defer dmn.Server.mutex.Unlock()
+		return float64(dmn.Server.Throttle.Limited(dmn.Server.Now()))
+	})
 	gauge("draining", "1 from the signal to stop on.", func(*control.Snapshot) float64 {
 		if dmn.Server.Draining() {
 			return 1
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -60,6 +60,8 @@
 	Budget    *dispatch.Budget
 	// Suspects counts the endpoint crashes that each request caused.
 	Suspects *dispatch.Suspects
+	// Throttle knows the limits that endpoints name.
+	Throttle *dispatch.Throttle
 	// Blame finds the parts of prompts that crash endpoints.
 	Blame   *dispatch.Blame
 	Metrics *Metrics
@@ -78,7 +80,7 @@
 	// OnWork, if set, is called when a generation was sent to an engine or has ended there; it must not block.
 	OnWork func(endpoint string)
 
-	// mutex guards Balancer, Budget, Suspects and Blame.
+	// mutex guards Balancer, Budget, Suspects, Blame and Throttle.
 	mutex    sync.Mutex
 	inFlight atomic.Int64
 	// waiting is the number of streams that wait for free capacity at an engine.
@@ -93,7 +95,7 @@
 
 // NewServer returns a server that uses the system clock.
 func NewServer() *Server {
-	return &Server{Now: time.Now, Balancer: dispatch.NewBalancer(), Budget: dispatch.NewBudget(), Suspects: dispatch.NewSuspects(), Blame: dispatch.NewBlame(), Metrics: NewMetrics(), streams: newStreams()}
+	return &Server{Now: time.Now, Balancer: dispatch.NewBalancer(), Budget: dispatch.NewBudget(), Suspects: dispatch.NewSuspects(), Blame: dispatch.NewBlame(), Throttle: dispatch.NewThrottle(), Metrics: NewMetrics(), streams: newStreams()}
 }
 
 // InFlight returns the number of requests in flight.
@@ -410,6 +412,7 @@
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
 	now := srv.Now()
+	srv.learnLimit(id, rateLimit(now, ans), sourceAnswer)
 	if ans.Load != nil {
 		srv.Balancer.Reported(now, id, ans.Load.Running, ans.Load.Waiting)
 	}
--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -67,6 +67,8 @@
 	Encoded bool
 	// Load is nil if the answer does not report it.
 	Load *Load
+	// RateLimit is the number of requests a second that the endpoint takes from all daemons together; nil if it names none.
+	RateLimit *float64
 }
 
 // Wire converts between HTTP headers and the gateway's types.
