--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -78,6 +78,9 @@
 	// idle is the idle traffic in bytes a second and daemon, measured in a window that ended at idleUntil.
 	idle      float64
 	idleUntil time.Time
+	// floods are the names of the calls of each flood; countedFrom is when runs begin to count for within and gets.
+	floods      map[string][]string
+	countedFrom time.Time
 }
 
 type siteEndpoint struct {
@@ -137,7 +140,7 @@
 func newSite(t *testing.T) *site {
 	sit := &site{
 		t: t, store: standin.NewKeyedStore(), engines: map[string]*siteEndpoint{}, pool: standin.NewSiteEngines(), daemons: map[string]*siteDaemon{},
-		calls: map[string]*siteCall{}, logs: &safeBuffer{}, born: 1000,
+		calls: map[string]*siteCall{}, floods: map[string][]string{}, logs: &safeBuffer{}, born: 1000,
 	}
 	t.Cleanup(func() {
 		for _, cal := range sit.calls {
@@ -163,7 +166,7 @@
 }
 
 func (sit *site) run(args []string) {
-	for _, one := range []func([]string) bool{sit.runSite, sit.runStop, sit.runEndpoint, sit.runCaller, sit.runWait, sit.runFleet, sit.runPrompt, sit.checkTraffic, sit.checkAnswer, sit.checkRuns} {
+	for _, one := range []func([]string) bool{sit.runSite, sit.runStop, sit.runEndpoint, sit.runCaller, sit.runWait, sit.runFleet, sit.runPrompt, sit.runLimit, sit.checkTraffic, sit.checkAnswer, sit.checkRuns} {
 		if one(args) {
 			return
 		}
--- a/standin/siteengine.go
+++ b/standin/siteengine.go
@@ -75,6 +75,8 @@
 	// handleCount numbers the handles of copies.
 	handleCount  int
 	refuseCopies bool
+	// rateLimit is the value of the header Server-Limit in answers; empty means that they have none.
+	rateLimit string
 }
 
 // siteGeneration is a stream that is being sent.
@@ -107,6 +109,13 @@
 	sen.leaving = true
 }
 
+// SetRateLimit makes the engine name a limit of requests a second in its answers; an empty limit means none.
+func (sen *SiteEngine) SetRateLimit(perSecond string) {
+	sen.mutex.Lock()
+	defer sen.mutex.Unlock()
+	sen.rateLimit = perSecond
+}
+
 // RefuseCopies makes the engine refuse copies of generations with status 503, as if its memory were full.
 func (sen *SiteEngine) RefuseCopies() {
 	sen.mutex.Lock()
@@ -272,6 +281,11 @@
 func (sen *SiteEngine) answer(wri http.ResponseWriter, req *http.Request, run *SiteRun, mode EngineMode, from int) {
 	hdr := wri.Header()
 	hdr.Set("Attempt-Id", run.CallID)
+	sen.mutex.Lock()
+	if sen.rateLimit != "" {
+		hdr.Set("Server-Limit", sen.rateLimit)
+	}
+	sen.mutex.Unlock()
 	if mode == EngineWrongAttemptID {
 		hdr.Set("Attempt-Id", "another")
 	}
