Keep requests to endpoints within the limits that these name, over all daemons

Callers saw nothing; an endpoint that named a limit got up to twice what it allows, which it asked not to get. Cause: nothing acted on Server-Limit; load alone decided. A class of its own next to it: a limit that each daemon keeps to alone is exceeded by all of them together. Change: for an endpoint that names a limit, each send takes a permit from the one daemon that the endpoint is assigned to, which hands them out at the limit. Without one, another endpoint is chosen, or the request is refused with a Retry-After.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -1,7 +1,7 @@
 VERSION := $(shell cat version.txt)
 LDFLAGS := -X main.version=$(VERSION)
 # KNOWN_RED are the tests listed in KNOWN-RED.txt that fail at times for a known fault; test prints their result only.
-KNOWN_RED := TestScenarios/(leaving_told|limit_shared|limit_all)$$|TestHostileEndpoints/chunks$$
+KNOWN_RED := TestScenarios/leaving_told$$|TestHostileEndpoints/chunks$$
 KNOWN_RED_FLEET := TestFleet/start$$
 PROGRAMS := papayacroft papayacroftd papayacroft-standin
 
--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -61,6 +61,8 @@
 	ReasonNoEndpoint Reason = "noEndpoint"
 	// ReasonFull means that there are such endpoints, but all of them are full.
 	ReasonFull Reason = "full"
+	// ReasonLimited means that there are such endpoints, but they have named limits and get no more requests now.
+	ReasonLimited Reason = "limited"
 )
 
 // Request holds the properties of a request that the choice of an endpoint depends on.
@@ -135,6 +137,8 @@
 type Balancer struct {
 	// FailureDomain is the failure domain of the daemon.
 	FailureDomain string
+	// Throttle knows the endpoints that name a limit.
+	Throttle *Throttle
 
 	endpoints map[string]*endpoint
 }
@@ -162,7 +166,7 @@
 
 // NewBalancer returns a balancer without any recorded load or failure.
 func NewBalancer() *Balancer {
-	return &Balancer{endpoints: map[string]*endpoint{}}
+	return &Balancer{Throttle: NewThrottle(), endpoints: map[string]*endpoint{}}
 }
 
 // Choose scores the endpoints that accept new requests of the service and returns the best one that is not full.
@@ -186,6 +190,13 @@
 		if !ok || preferred && !req.Preferred[id] {
 			continue
 		}
+		// A copy can't wait: its engine leaves.
+		if req.Source == "" && bal.Throttle.Denied(now, id) {
+			if choice.Considered == 0 {
+				choice.Reason = ReasonLimited
+			}
+			continue
+		}
 		choice.Considered++
 		score, full := bal.rate(now, sta, &edp, engine, req)
 		if full && !req.Force {
--- /dev/null
+++ b/dispatch/permits.go
@@ -0,0 +1,69 @@
+package dispatch
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	// minRateLimit is the least number of requests a second that an endpoint gets, whatever it names: only an answer
+	// shows that the limit is over.
+	minRateLimit = 0.2
+	// bucketLifetime is how long the state of a limit is kept after the last request for a permit.
+	bucketLifetime = time.Minute
+)
+
+// Permits hands out permits for the endpoints that are assigned to this daemon: one permit allows one daemon to send one
+// request. All daemons ask the same one, so that their requests together stay within the limit, however unevenly the
+// callers are spread over the daemons.
+type Permits struct {
+	buckets map[string]*permitBucket
+}
+
+// permitBucket hands out the permits of one endpoint.
+type permitBucket struct {
+	limiter *rate.Limiter
+	usedAt  time.Time
+}
+
+// NewPermits returns a Permits for no endpoints.
+func NewPermits() *Permits {
+	return &Permits{buckets: map[string]*permitBucket{}}
+}
+
+// Take takes a permit for an endpoint with a limit; it returns false and the time until the next permit if there is none.
+// With force it takes one in advance if there is none.
+func (per *Permits) Take(now time.Time, id string, perSecond float64, force bool) (granted bool, wait time.Duration) {
+	perSecond = max(perSecond, minRateLimit)
+	// A burst of half a second lets more permits be used when requests arrive at random times.
+	limit, burst := rate.Limit(perSecond), 1+int(perSecond/2)
+	buc, known := per.buckets[id]
+	if !known {
+		// The daemon that was asked before may just have handed out a burst.
+		buc = &permitBucket{limiter: rate.NewLimiter(limit, burst)}
+		buc.limiter.ReserveN(now, burst-1)
+		per.buckets[id] = buc
+	}
+	buc.usedAt = now
+	if buc.limiter.Limit() != limit {
+		buc.limiter.SetLimitAt(now, limit)
+		buc.limiter.SetBurstAt(now, burst)
+	}
+	rsv := buc.limiter.ReserveN(now, 1)
+	wait = rsv.DelayFrom(now)
+	if wait == 0 || force {
+		return true, 0
+	}
+	rsv.CancelAt(now)
+	return false, wait
+}
+
+// Forget drops the endpoints for which no daemon has asked for a while.
+func (per *Permits) Forget(now time.Time) {
+	for id, buc := range per.buckets {
+		if now.Sub(buc.usedAt) >= bucketLifetime {
+			delete(per.buckets, id)
+		}
+	}
+}
--- a/dispatch/throttle.go
+++ b/dispatch/throttle.go
@@ -2,8 +2,12 @@
 
 import "time"
 
-// rateLimitLifetime is how long a limit counts that the endpoint has not named again.
-const rateLimitLifetime = 30 * time.Second
+const (
+	// rateLimitLifetime is how long a limit counts that the endpoint has not named again.
+	rateLimitLifetime = 30 * time.Second
+	// maxDenial bounds the time for which an endpoint is not asked for again after a denial.
+	maxDenial = time.Second
+)
 
 // RateLimit is what an endpoint said last of the number of requests that it takes from all daemons together.
 type RateLimit struct {
@@ -15,14 +19,15 @@
 	At time.Time
 }
 
-// Throttle knows the limits that endpoints name.
+// Throttle knows the limits that endpoints name, and the endpoints for which this daemon gets no permits at present.
 type Throttle struct {
 	limits map[string]RateLimit
+	denied map[string]time.Time
 }
 
 // NewThrottle returns a Throttle that knows no limits.
 func NewThrottle() *Throttle {
-	return &Throttle{limits: map[string]RateLimit{}}
+	return &Throttle{limits: map[string]RateLimit{}, denied: map[string]time.Time{}}
 }
 
 // Learn records what an endpoint said, unless something later is known. It reports whether the limit has changed.
@@ -32,6 +37,9 @@
 		return false
 	}
 	thr.limits[id] = lim
+	if !lim.Named {
+		delete(thr.denied, id)
+	}
 	return old.Named != lim.Named || old.PerSecond != lim.PerSecond
 }
 
@@ -44,6 +52,16 @@
 	return lim
 }
 
+// Deny records that no permit for an endpoint is to be had for a time.
+func (thr *Throttle) Deny(now time.Time, id string, wait time.Duration) {
+	thr.denied[id] = now.Add(min(wait, maxDenial))
+}
+
+// Denied reports whether no permit for an endpoint is to be had now.
+func (thr *Throttle) Denied(now time.Time, id string) bool {
+	return now.Before(thr.denied[id])
+}
+
 // Limited returns the number of endpoints with a limit.
 func (thr *Throttle) Limited(now time.Time) int {
 	count := 0
@@ -60,6 +78,7 @@
 	for id, lim := range thr.limits {
 		if now.Sub(lim.At) >= rateLimitLifetime {
 			delete(thr.limits, id)
+			delete(thr.denied, id)
 		}
 	}
 }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -92,6 +92,8 @@
 	// SoundParts returns blamed parts of prompts that are known to be sound, NoteSoundParts records some.
 	SoundParts(now time.Time) SoundParts
 	NoteSoundParts(parts SoundParts)
+	// GrantPermit answers a daemon that asks for a permit.
+	GrantPermit(req *PermitRequest) *PermitReply
 }
 
 // Exchange gossips with other daemons: it exchanges load, endpoints that leave, crashes and configuration versions, and
@@ -151,6 +153,9 @@
 		exc.Requests.SetPeerUsage(exc.Now(), msg.Name, msg.Usage)
 		return nil
 	})
+	srv.Handlers[permitMethod] = answer(func(_ context.Context, req *PermitRequest) any {
+		return exc.Requests.GrantPermit(req)
+	})
 	exc.broadcasts[leavingMethod] = answer(func(ctx context.Context, msg *message) any {
 		exc.Control.Send(ctx, control.Leaving{BornAt: msg.Leaving, Source: msg.Name})
 		return nil
--- a/exchange/fleet_test.go
+++ b/exchange/fleet_test.go
@@ -435,4 +435,5 @@
 func (idleRequests) Crashes(time.Time) []exchange.Crash                        { return nil }
 func (idleRequests) SoundParts(time.Time) exchange.SoundParts                  { return nil }
 func (idleRequests) NoteSoundParts(exchange.SoundParts)                        {}
+func (idleRequests) GrantPermit(*exchange.PermitRequest) *exchange.PermitReply { return nil }
 func (idleRequests) NoteCrash(exchange.Crash)                                  {}
--- a/exchange/work_test.go
+++ b/exchange/work_test.go
@@ -30,10 +30,11 @@
 func (*steadyRequests) UsageAt(string) dispatch.Usage {
 	return dispatch.Usage{Flights: 1, Tokens: 4000}
 }
-func (*steadyRequests) Crashes(time.Time) []exchange.Crash       { return nil }
-func (*steadyRequests) SoundParts(time.Time) exchange.SoundParts { return nil }
-func (*steadyRequests) NoteSoundParts(exchange.SoundParts)       {}
-func (*steadyRequests) NoteCrash(exchange.Crash)                 {}
+func (*steadyRequests) Crashes(time.Time) []exchange.Crash                        { return nil }
+func (*steadyRequests) SoundParts(time.Time) exchange.SoundParts                  { return nil }
+func (*steadyRequests) NoteSoundParts(exchange.SoundParts)                        {}
+func (*steadyRequests) GrantPermit(*exchange.PermitRequest) *exchange.PermitReply { return nil }
+func (*steadyRequests) NoteCrash(exchange.Crash)                                  {}
 
 func (rqs *steadyRequests) LocalUsage() map[string]dispatch.Usage {
 	return map[string]dispatch.Usage{"e": rqs.UsageAt("e")}
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -128,6 +128,7 @@
 	srv.OwnEngines = dmn.Exchange.OwnEngines
 	srv.OnCrash, srv.OnSoundParts = dmn.Exchange.ShareCrash, dmn.Exchange.ShareSoundParts
 	srv.OnWork = dmn.Exchange.WorkChanged
+	srv.AskPermit = dmn.Exchange.AskPermit
 	dmn.Prober.Name, dmn.Prober.Control, dmn.Prober.Exchange, dmn.Prober.Engines, dmn.Prober.Logger = set.Name, dmn.Control, dmn.Exchange, srv.Engines, dmn.Logger
 	dmn.Exchange.Address = set.PeerAddress
 	dmn.Control.OnLeaving = srv.EndpointLeaves
@@ -138,6 +139,7 @@
 		srv.Budget.Daemons = len(dmn.Exchange.Members())
 		srv.Balancer.Forget(srv.Now(), snp.Fleet)
 		srv.Throttle.Forget(srv.Now())
+		srv.Permits.Forget(srv.Now())
 	}
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -98,7 +98,7 @@
 
 // tryCall sends the request to one endpoint and reports whether it should be sent to another.
 func (srv *Server) tryCall(ctx context.Context, rqs *request, trs *tries) bool {
-	cho := srv.choose(srv.Now(), rqs, dispatch.Work{}, true)
+	cho := srv.awaitEndpoint(ctx, rqs, dispatch.Work{}, true)
 	if cho.Endpoint == nil {
 		trs.noEndpoint = cho.String()
 		return false
--- a/gateway/scenario_limit_test.go
+++ b/gateway/scenario_limit_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -23,6 +25,17 @@
 		sit.engines[args[1]].SetRateLimit(strings.ReplaceAll(args[2], "none", ""))
 	case "flood": // flood NAME ROUTE PER_SECOND DURATION DAEMON...: sends calls to the daemons in turn and waits for their ends
 		sit.flood(args[1], args[2], sit.number(args[3]), sit.duration(args[4]), args[5:])
+	case "stopPermits": // stopPermits ENGINE: ends the daemon that hands out the permits for the endpoint
+		for name, dmn := range sit.daemons {
+			if dmn.Exchange.Assigned(args[1]) == name {
+				dmn.stop()
+				dmn.kill()
+				sit.stopped = name
+			}
+		}
+		if sit.stopped == "" {
+			sit.fatalf("got no daemon that hands out permits, want one")
+		}
 	case "count": // count: runs count from now on
 		sit.countedFrom = time.Now()
 	case "within": // within ENGINE PER_SECOND: no span of limitWindow has more runs than the limit allows
@@ -40,6 +53,10 @@
 }
 
 func (sit *site) flood(name, route string, perSecond int, dur time.Duration, daemons []string) {
+	// $answering stands for all daemons that have not been ended by stopPermits.
+	if daemons[0] == "$answering" {
+		daemons = slices.DeleteFunc(slices.Sorted(maps.Keys(sit.daemons)), func(name string) bool { return name == sit.stopped })
+	}
 	began := time.Now()
 	for number := range int(dur.Seconds() * float64(perSecond)) {
 		call := fmt.Sprintf("%s%d", name, number)
--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -81,6 +81,8 @@
 	// floods are the names of the calls of each flood; countedFrom is when runs begin to count for within and gets.
 	floods      map[string][]string
 	countedFrom time.Time
+	// stopped is the daemon that stopPermits has ended.
+	stopped string
 }
 
 type siteEndpoint struct {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -60,8 +60,12 @@
 	Budget    *dispatch.Budget
 	// Suspects counts the endpoint crashes that each request caused.
 	Suspects *dispatch.Suspects
-	// Throttle knows the limits that endpoints name.
+	// Throttle knows the limits that endpoints name; the Balancer uses it too.
 	Throttle *dispatch.Throttle
+	// Permits hands out permits for endpoints with a limit.
+	Permits *dispatch.Permits
+	// AskPermit asks the daemon that hands out the permits for an endpoint; without it, this daemon does.
+	AskPermit func(ctx context.Context, req *exchange.PermitRequest) (*exchange.PermitReply, error)
 	// Blame finds the parts of prompts that crash endpoints.
 	Blame   *dispatch.Blame
 	Metrics *Metrics
@@ -80,7 +84,7 @@
 	// OnWork, if set, is called when a generation was sent to an engine or has ended there; it must not block.
 	OnWork func(endpoint string)
 
-	// mutex guards Balancer, Budget, Suspects, Blame and Throttle.
+	// mutex guards Balancer, Budget, Suspects, Blame, Throttle and Permits.
 	mutex    sync.Mutex
 	inFlight atomic.Int64
 	// waiting is the number of streams that wait for free capacity at an engine.
@@ -95,7 +99,8 @@
 
 // NewServer returns a server that uses the system clock.
 func NewServer() *Server {
-	return &Server{Now: time.Now, Balancer: dispatch.NewBalancer(), Budget: dispatch.NewBudget(), Suspects: dispatch.NewSuspects(), Blame: dispatch.NewBlame(), Throttle: dispatch.NewThrottle(), Metrics: NewMetrics(), streams: newStreams()}
+	bal := dispatch.NewBalancer()
+	return &Server{Now: time.Now, Balancer: bal, Throttle: bal.Throttle, Budget: dispatch.NewBudget(), Suspects: dispatch.NewSuspects(), Blame: dispatch.NewBlame(), Permits: dispatch.NewPermits(), Metrics: NewMetrics(), streams: newStreams()}
 }
 
 // InFlight returns the number of requests in flight.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -12,7 +12,6 @@
 
 	"papayacroft/catalog"
 	"papayacroft/dispatch"
-	"papayacroft/retry"
 )
 
 const (
@@ -130,7 +129,7 @@
 
 // tryStart sends the request to one engine and reports whether it should be sent to another.
 func (one *run) tryStart(ctx context.Context, trs *tries) bool {
-	cho := one.awaitCapacity(ctx)
+	cho := one.awaitEngine(ctx)
 	if cho.Endpoint == nil {
 		trs.noEndpoint = cho.String()
 		return false
@@ -166,20 +165,10 @@
 	return &plainAnswer{response: res, body: body}
 }
 
-// awaitCapacity chooses an engine; if all are full, it waits for free capacity for waitShare of the request's target.
-func (one *run) awaitCapacity(ctx context.Context) dispatch.Choice {
-	rqs := one.request
-	until := rqs.begun.Add(time.Duration(waitShare * float64(rqs.route.Target)))
+func (one *run) awaitEngine(ctx context.Context) dispatch.Choice {
 	one.server.waiting.Add(1)
 	defer one.server.waiting.Add(-1)
-	for {
-		now := one.server.Now()
-		cho := one.server.choose(now, rqs, one.work, false)
-		if cho.Endpoint != nil || cho.Reason != dispatch.ReasonFull || ctx.Err() != nil || !now.Before(until) {
-			return cho
-		}
-		retry.Sleep(ctx, capacityPoll)
-	}
+	return one.server.awaitEndpoint(ctx, one.request, one.work, false)
 }
 
 // open sends the request to an engine and reads the head of its answer; on success it becomes the run's engine.
@@ -353,6 +342,7 @@
 // there is one; otherwise it sends a repeatable request to another engine.
 func (one *run) resume(ctx context.Context) bool {
 	if cpy := one.awaitMove(ctx); cpy != nil {
+		go one.server.permit(ctx, cpy.endpoint.ID, true)
 		if one.reopen(ctx, cpy.endpoint, Forward{Copy: cpy.name}) {
 			return true
 		}
@@ -361,7 +351,7 @@
 		return false
 	}
 	one.excluded[one.endpoint.ID] = true
-	cho := one.server.choose(one.server.Now(), one.request, one.work, true)
+	cho := one.server.choosePermitted(ctx, one.request, one.work, true)
 	return cho.Endpoint != nil && one.reopen(ctx, cho.Endpoint, Forward{})
 }
 
