Treat an unframed stream without any event as broken off

Callers would have seen an empty answer of status 200 that looks complete. Cause: a stream without a length or chunks ends with its connection; the end before the first byte was taken for the regular end. Change: such an end counts as an interruption: 502, or another engine for a stream that may be resumed, and the check whether the engine crashed. Evidence: stream_unframed failed before (status 200, want 502). The cases inside an event, whole streams and whole plain answers passed before. Conclusion: fixed for streams. A plain answer that ends early without a reset can't be told from a whole one.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -23,6 +23,8 @@
 	// framed is true if the answer has a content length or is chunked. A regular end then shows that the answer is
 	// complete, so data after the last separator is part of it and not a truncated event.
 	framed bool
+	// begun is true once data has arrived.
+	begun  bool
 	buffer buffer
 	chunk  []byte
 	// scanned is the size of the data at the start of buffer that has no end of an event.
@@ -42,7 +44,8 @@
 }
 
 // next returns the complete events that have arrived; it waits for the first one.
-// At the end of the stream it returns io.EOF, or io.ErrUnexpectedEOF if the last event is truncated.
+// At the end of the stream it returns io.EOF, or io.ErrUnexpectedEOF if the stream broke off: inside an event, or before
+// the first one.
 func (evr *eventReader) next() ([]byte, error) {
 	for {
 		if end := evr.eventsEnd(); end > 0 {
@@ -52,6 +55,7 @@
 			return nil, errEventTooLong
 		}
 		count, err := evr.body.Read(evr.chunk)
+		evr.begun = evr.begun || count > 0
 		if err := evr.buffer.append(evr.chunk[:count]); err != nil {
 			return nil, err
 		}
@@ -61,13 +65,15 @@
 		if end := evr.eventsEnd(); end > 0 {
 			return evr.cut(end)
 		}
-		if errors.Is(err, io.EOF) && len(evr.buffer.data) > 0 {
-			if !evr.framed {
-				return nil, io.ErrUnexpectedEOF
-			}
+		switch inEvent := len(evr.buffer.data) > 0; {
+		case !errors.Is(err, io.EOF):
+			return nil, err
+		case !evr.framed && (inEvent || !evr.begun):
+			return nil, io.ErrUnexpectedEOF
+		case inEvent:
 			return evr.cut(len(evr.buffer.data))
 		}
-		return nil, err
+		return nil, io.EOF
 	}
 }
 
--- a/standin/siteengine.go
+++ b/standin/siteengine.go
@@ -30,6 +30,11 @@
 	EngineWrongAttemptID EngineMode = "foreign"
 	// EngineCrashes stops the endpoint when it runs a request.
 	EngineCrashes EngineMode = "crashes"
+	// EngineUnframed sends answers that have neither a length nor chunks and end with their connection.
+	EngineUnframed EngineMode = "unframed"
+	// EngineUnframedCuts does so and closes the connection inside an event, EngineUnframedEmpty before the first one.
+	EngineUnframedCuts  EngineMode = "unframedCuts"
+	EngineUnframedEmpty EngineMode = "unframedEmpty"
 	// EngineUnsigned answers without a response signature.
 	EngineUnsigned EngineMode = "unsigned"
 )
@@ -301,6 +306,10 @@
 		sen.Crash()
 		panic(http.ErrAbortHandler)
 	}
+	if mode == EngineUnframed || mode == EngineUnframedCuts || mode == EngineUnframedEmpty {
+		sen.answerUnframed(wri, req, run, mode, from)
+		return
+	}
 	if mode == EngineHangs {
 		<-req.Context().Done()
 		sen.markCut(run)
@@ -363,6 +372,35 @@
 	}
 }
 
+// answerUnframed sends an answer that ends with its connection.
+func (sen *SiteEngine) answerUnframed(wri http.ResponseWriter, req *http.Request, run *SiteRun, mode EngineMode, from int) {
+	con, buf, err := http.NewResponseController(wri).Hijack()
+	if err != nil {
+		return
+	}
+	defer con.Close()
+	_, _ = fmt.Fprint(buf, "HTTP/1.1 200 OK\r\n")
+	_ = wri.Header().Write(buf)
+	events, err := strconv.Atoi(req.URL.Query().Get("events"))
+	switch {
+	case err != nil:
+		_, _ = fmt.Fprintf(buf, "\r\nanswer of %s to %s", sen.ID, run.CallID)
+	default:
+		_, _ = fmt.Fprint(buf, "Content-Type: text/event-stream\r\n\r\n")
+		if mode == EngineUnframedEmpty {
+			events = 0
+		}
+		for made := from + 1; made <= events; made++ {
+			_, _ = fmt.Fprintf(buf, "id: %d\ndata: %s", made, run.CallID)
+			if mode == EngineUnframedCuts && made > events/2 {
+				break
+			}
+			_, _ = fmt.Fprint(buf, "\n\n")
+		}
+	}
+	_ = buf.Flush()
+}
+
 func (sen *SiteEngine) markCut(run *SiteRun) {
 	sen.mutex.Lock()
 	defer sen.mutex.Unlock()
