Avoid engines that peers saw crash, and bound refused connections by time

Callers saw 503 though engines were idle: a daemon that had not met the crashes yet tried four crashed engines within 16 ms, the limit. Cause: the news of a crash went to the quarantine only, and the limit of four connections, meant for time-outs, also counted connections refused at once. Change: news of a crash marks the endpoint as unreachable; four endpoints are the limit only after the time of one dial time-out. Evidence: engines_ended fails on the code before (503 with an engine idle).

--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -23,19 +23,21 @@
 	return &Suspects{crashes: map[uint64]map[string]time.Time{}}
 }
 
-// Crashed records that an endpoint crashed while it ran the request with the given digest.
+// Crashed records that an endpoint crashed while it ran the request with the given digest, and reports whether that is new.
 // Only the first crash of each pair of request and endpoint is recorded.
-func (sus *Suspects) Crashed(now time.Time, digest uint64, endpoint string) {
+func (sus *Suspects) Crashed(now time.Time, digest uint64, endpoint string) (added bool) {
 	if _, known := sus.crashes[digest]; !known {
 		sus.prune(now)
 		if len(sus.crashes) >= maxSuspects {
-			return
+			return false
 		}
 		sus.crashes[digest] = map[string]time.Time{}
 	}
-	if _, known := sus.crashes[digest][endpoint]; !known {
-		sus.crashes[digest][endpoint] = now
+	if _, known := sus.crashes[digest][endpoint]; known {
+		return false
 	}
+	sus.crashes[digest][endpoint] = now
+	return true
 }
 
 // Condemned reports whether a request has crashed so many endpoints that it must not be run again.
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -128,7 +128,9 @@
 func (srv *Server) NoteCrash(found exchange.Crash) {
 	now := srv.Now()
 	srv.mutex.Lock()
-	srv.Suspects.Crashed(now, found.Digest, found.Endpoint)
+	if srv.Suspects.Crashed(now, found.Digest, found.Endpoint) {
+		srv.Balancer.Failed(now, found.Endpoint, true)
+	}
 	condemned := srv.Blame.Crashed(now, now.Add(-milliseconds(found.AgeMS)), dispatch.PartCrash{
 		Endpoint: found.Endpoint, Digest: found.Digest, Parts: found.Parts, Begun: found.Begun,
 	})
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -16,8 +16,10 @@
 const (
 	// fullRetry is the Retry-After of requests for which all endpoints are full or none accepts work.
 	fullRetry = 400 * time.Millisecond
-	// maxUnreached limits the endpoints that one request is tried at without getting a connection.
-	maxUnreached = 4
+	// maxUnreached limits the endpoints that one request is tried at without getting a connection, once unreachedTime has
+	// passed: a connection to a crashed endpoint is refused at once, one to an endpoint behind a broken link times out.
+	maxUnreached  = 4
+	unreachedTime = dialTimeout
 	// silentShare is the time for which a repeatable request waits for an endpoint's answer before it is retried at
 	// another endpoint, as a fraction of the time left until its deadline.
 	silentShare = 0.4
@@ -122,7 +124,7 @@
 	switch res {
 	case outcomeUnreached:
 		trs.unreached++
-		return ctx.Err() == nil && trs.unreached < maxUnreached
+		return ctx.Err() == nil && (trs.unreached < maxUnreached || srv.Now().Sub(rqs.begun) < unreachedTime)
 	case outcomeUnknown:
 		trs.mayHaveRun = true
 	}
