End streams that wait with a prompt part that has been condemned

Callers saw streams cut after the daemons knew what crashes the engines. Cause: quarantine looked at requests on arrival only. A prompt takes 0.3 to 0.5 s to read, so several requests with the part were already at engines, and each crashed its own at its first event. Change: when parts are condemned, streams that have all of them and no event yet are ended with 502 at once; the engine drops them. This counts as no failure of the engine.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -134,15 +134,42 @@
 	condemned := srv.Blame.Crashed(now, now.Add(-milliseconds(found.AgeMS)), dispatch.PartCrash{
 		Endpoint: found.Endpoint, Digest: found.Digest, Parts: found.Parts, Begun: found.Begun,
 	})
+	ended := srv.endBeginning(condemned)
 	srv.mutex.Unlock()
 	if len(condemned) > 0 {
-		srv.Logger.WithFields(logrus.Fields{"parts": condemned, fieldEndpoint: found.Endpoint}).Warn("requests with these parts of a prompt are refused: they crash endpoints")
+		srv.Logger.WithFields(logrus.Fields{"parts": condemned, fieldEndpoint: found.Endpoint, "ended": ended}).Warn("requests with these parts of a prompt are refused: they crash endpoints")
 	}
 	if len(found.Parts) > 0 {
 		srv.shareSound()
 	}
 }
 
+// setBeginning records whether a stream waits for its first event.
+func (srv *Server) setBeginning(one *run, beginning bool) {
+	srv.mutex.Lock()
+	defer srv.mutex.Unlock()
+	if beginning {
+		srv.beginning[one] = true
+	} else {
+		delete(srv.beginning, one)
+	}
+}
+
+// endBeginning ends the streams that would crash their engines with their first event: those with all parts of a prompt
+// that were condemned together, one of which is at fault. It returns their number; the caller holds the mutex.
+func (srv *Server) endBeginning(condemned []string) int {
+	ended := 0
+	for one := range srv.beginning {
+		parts := sharedParts(one.Parts)
+		isMissing := func(part string) bool { return !slices.Contains(parts, part) }
+		if len(condemned) > 0 && !slices.ContainsFunc(condemned, isMissing) {
+			one.cancel(errCondemned)
+			ended++
+		}
+	}
+	return ended
+}
+
 // Crashes returns up to maxSharedCrashes recorded crashes; gossip carries them to peers that missed the broadcast.
 func (srv *Server) Crashes(now time.Time) []exchange.Crash {
 	srv.mutex.Lock()
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -86,6 +86,8 @@
 	switch {
 	case rqs.http.Context().Err() != nil:
 		return failed("the caller left")
+	case errors.Is(context.Cause(ctx), errCondemned):
+		return failed("%v", errCondemned)
 	case trs.mayHaveRun && ctx.Err() != nil:
 		return expired("no answer before the deadline")
 	case trs.mayHaveRun:
--- a/gateway/scenario_prompt_test.go
+++ b/gateway/scenario_prompt_test.go
@@ -9,6 +9,10 @@
 		sit.startPrompt(args[1], args[2], "/"+args[3]+"/x?events="+args[4], args[5], nil)
 	case "finished": // finished CALL: waits until the call has ended in any way
 		sit.finished(args[1])
+	case "running": // running CALL: its one run has not been cut
+		if runs := sit.runs(args[1], nil); len(runs) != 1 || runs[0].CallerDisconnected {
+			sit.fatalf("got runs %+v, want one that has not been cut", runs)
+		}
 	case "replaceCrashed": // replaceCrashed: removes the entry of each crashed engine and starts a new engine in its place
 		sit.replaceCrashed()
 	default:
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -93,6 +93,8 @@
 	drainingSince atomic.Int64
 	streams       *streams
 	buffers       bufferPool
+	// beginning holds the streams that have been sent to an engine and have had no event; the mutex guards it.
+	beginning map[*run]bool
 	// sharing is true while a call of OnSoundParts is due.
 	sharing atomic.Bool
 }
@@ -100,7 +102,7 @@
 // NewServer returns a server that uses the system clock.
 func NewServer() *Server {
 	bal := dispatch.NewBalancer()
-	return &Server{Now: time.Now, Balancer: bal, Throttle: bal.Throttle, Budget: dispatch.NewBudget(), Suspects: dispatch.NewSuspects(), Blame: dispatch.NewBlame(), Permits: dispatch.NewPermits(), Metrics: NewMetrics(), streams: newStreams()}
+	return &Server{Now: time.Now, Balancer: bal, Throttle: bal.Throttle, Budget: dispatch.NewBudget(), Suspects: dispatch.NewSuspects(), Blame: dispatch.NewBlame(), Permits: dispatch.NewPermits(), Metrics: NewMetrics(), streams: newStreams(), beginning: map[*run]bool{}}
 }
 
 // InFlight returns the number of requests in flight.
@@ -167,8 +169,9 @@
 }
 
 var (
-	errDeadline = errors.New("the request's deadline passed")
-	errSilent   = errors.New("the endpoint did not answer before the retry time-out")
+	errDeadline  = errors.New("the request's deadline passed")
+	errSilent    = errors.New("the endpoint did not answer before the retry time-out")
+	errCondemned = errors.New("other requests with the same part of the prompt crashed endpoints meanwhile")
 )
 
 // admit matches the route, authenticates the caller, sets the deadline and reads the body.
@@ -388,7 +391,7 @@
 	if !errors.As(err, &sendErr) {
 		return
 	}
-	if errors.Is(context.Cause(ctx), context.Canceled) || !sendErr.Sent && ctx.Err() != nil {
+	if cause := context.Cause(ctx); errors.Is(cause, context.Canceled) || errors.Is(cause, errCondemned) || !sendErr.Sent && ctx.Err() != nil {
 		return
 	}
 	srv.mutex.Lock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -39,6 +39,9 @@
 	// movable is true if the generation's memory can be copied to another engine.
 	movable bool
 
+	// cancel ends the request at its engine.
+	cancel context.CancelCauseFunc
+
 	link     *Link
 	flight   *dispatch.Flight
 	endpoint *catalog.Endpoint
@@ -67,10 +70,14 @@
 // serveStream relays a stream to the caller; if an engine fails, it resumes the stream at another one where possible.
 func (srv *Server) serveStream(ctx context.Context, wri http.ResponseWriter, rqs *request) *refusal {
 	rqs.logger.WithFields(logrus.Fields{"prompt": rqs.PromptTokens, "maxTokens": rqs.MaxTokens, "hint": rqs.LengthHint}).Debug("stream")
-	one := &run{request: rqs, server: srv, writer: wri, control: http.NewResponseController(wri), work: expectedWork(rqs)}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	one := &run{request: rqs, server: srv, cancel: cancel, writer: wri, control: http.NewResponseController(wri), work: expectedWork(rqs)}
 	one.lastEvent = rqs.LastEvent
 	engine := srv.Snapshots.Snapshot().Catalog.Services[rqs.service].Engine
 	one.movable = engine != nil && engine.Moves && !rqs.route.Resumable
+	srv.setBeginning(one, true)
+	defer srv.setBeginning(one, false)
 	ref := one.start(ctx)
 	if ref != nil || one.link == nil {
 		return ref
@@ -292,6 +299,7 @@
 		one.server.started(one.flight)
 	}
 	if count > 0 && one.events == count {
+		one.server.setBeginning(one, false)
 		one.server.noteSound(one.server.Now(), one.request)
 	}
 	one.observe(one.server.Now())
