Check a broken-off endpoint for a crash after 40 ms instead of 150 ms

Cause: until a crash is confirmed, requests with the same part go on to other engines, 1 to 2 of them at two such requests a second. Change: crashCheckDelay 40 ms. A crashed endpoint takes no connections for seconds, so the check needs no longer delay.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -18,7 +18,7 @@
 const (
 	// crashCheckDelay is the delay from a broken answer to the connection attempt that shows whether the endpoint has
 	// crashed: a crashed endpoint takes no connections for seconds.
-	crashCheckDelay = 150 * time.Millisecond
+	crashCheckDelay = 40 * time.Millisecond
 	// maxSharedCrashes limits the crashes in one message between daemons.
 	maxSharedCrashes = 32
 	// condemnedRetry is the Retry-After of requests that are refused because they crashed several endpoints.
