Count the crashes of an engine that starts again under its id

A request that crashes one engine each time it is back could run without end. Cause: quarantine counted different ids of endpoints, and an engine may keep its id over a crash: the same class as identity by the whole request. Change: crashes are counted by id and start time, in the messages too. Evidence: TestCrashesOfOneEngineCount fails without the start time in the key (not condemned after 3 crashes). Conclusion: fixed.

--- a/dispatch/blame.go
+++ b/dispatch/blame.go
@@ -36,7 +36,7 @@
 
 // PartCrash is a report that an endpoint crashed before a request there had its first event.
 type PartCrash struct {
-	Endpoint string
+	Incarnation
 	// Digest identifies the request.
 	Digest uint64
 	// Parts are the parts of the request's prompt that other requests may have in common with it.
--- a/dispatch/blame_test.go
+++ b/dispatch/blame_test.go
@@ -42,7 +42,7 @@
 				now := testNow.Add(stp.At)
 				switch {
 				case stp.Crash != "":
-					bla.Crashed(now, now, PartCrash{Endpoint: stp.Crash, Digest: uint64(number), Parts: stp.Parts, Begun: stp.Begun})
+					bla.Crashed(now, now, PartCrash{Incarnation: Incarnation{Endpoint: stp.Crash}, Digest: uint64(number), Parts: stp.Parts, Begun: stp.Begun})
 				case stp.Sound != nil:
 					bla.Sound(now, now, stp.Sound)
 				case stp.Ask != nil:
@@ -64,7 +64,7 @@
 	}
 	for i, want := range []int{1, 0} {
 		at := testNow.Add(time.Second)
-		bla.Crashed(at, at, PartCrash{Endpoint: "e1", Parts: []string{"system", "bad"}, Begun: true})
+		bla.Crashed(at, at, PartCrash{Incarnation: Incarnation{Endpoint: "e1"}, Parts: []string{"system", "bad"}, Begun: true})
 		if got := bla.News(at.Add(time.Duration(i))); len(got) != want {
 			t.Errorf("got news %v the %d. time, want %d parts", got, i+1, want)
 		}
@@ -84,7 +84,7 @@
 		id := time.Duration(i).String()
 		bla.Sound(now, now, []string{id})
 		if i%16 == 0 {
-			bla.Crashed(now, now, PartCrash{Endpoint: id, Parts: []string{id, "x" + id}, Begun: true})
+			bla.Crashed(now, now, PartCrash{Incarnation: Incarnation{Endpoint: id}, Parts: []string{id, "x" + id}, Begun: true})
 		}
 	}
 	if got, want := len(bla.sound)+len(bla.older), 2*maxSoundParts; got > want {
--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// suspectCrashes is the number of different endpoints that must have crashed while they ran a request before the
+	// suspectCrashes is the number of starts of endpoints that must have crashed while they ran a request before the
 	// request is refused.
 	suspectCrashes = 3
 	// suspectRetention is how long a crash is counted.
@@ -15,23 +15,29 @@
 // Suspects counts the endpoint crashes of each request, by the request's digest. A request that crashes its endpoint is
 // repeated on other endpoints, as its caller sends it again, and may crash them all.
 type Suspects struct {
-	crashes map[uint64]map[string]time.Time
+	crashes map[uint64]map[Incarnation]time.Time
+}
+
+// Incarnation is one start of an endpoint: an endpoint may start again under its id after a crash.
+type Incarnation struct {
+	Endpoint  string
+	StartedAt int64
 }
 
 // NewSuspects returns an empty set of suspects.
 func NewSuspects() *Suspects {
-	return &Suspects{crashes: map[uint64]map[string]time.Time{}}
+	return &Suspects{crashes: map[uint64]map[Incarnation]time.Time{}}
 }
 
 // Crashed records that an endpoint crashed while it ran the request with the given digest, and reports whether that is new.
 // Only the first crash of each pair of request and endpoint is recorded.
-func (sus *Suspects) Crashed(now time.Time, digest uint64, endpoint string) (added bool) {
+func (sus *Suspects) Crashed(now time.Time, digest uint64, endpoint Incarnation) (added bool) {
 	if _, known := sus.crashes[digest]; !known {
 		sus.prune(now)
 		if len(sus.crashes) >= maxSuspects {
 			return false
 		}
-		sus.crashes[digest] = map[string]time.Time{}
+		sus.crashes[digest] = map[Incarnation]time.Time{}
 	}
 	if _, known := sus.crashes[digest][endpoint]; known {
 		return false
@@ -52,7 +58,7 @@
 }
 
 // Each calls visit for each recorded crash that has not expired.
-func (sus *Suspects) Each(now time.Time, visit func(digest uint64, endpoint string)) {
+func (sus *Suspects) Each(now time.Time, visit func(digest uint64, endpoint Incarnation)) {
 	for digest, crashes := range sus.crashes {
 		for endpoint, at := range crashes {
 			if now.Sub(at) < suspectRetention {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -65,6 +65,8 @@
 	// Digest identifies the request; it is the same when the caller sends it again.
 	Digest   uint64 `json:"digest,string"`
 	Endpoint string `json:"endpoint"`
+	// StartedAt distinguishes the endpoint from a later one with the same id.
+	StartedAt int64 `json:"startedAt,omitempty"`
 	// AgeMS is the time since the crash in ms.
 	AgeMS int64 `json:"ageMs"`
 	// Parts are the parts of the request's prompt that other requests may have in common with it. They are empty if the
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -91,7 +91,7 @@
 		crashed <- false
 		return crashed
 	}
-	found := exchange.Crash{Digest: rqs.digest(), Endpoint: edp.ID, Begun: end.begun}
+	found := exchange.Crash{Digest: rqs.digest(), Endpoint: edp.ID, StartedAt: edp.StartedAt, Begun: end.begun}
 	if end.events == 0 {
 		found.Parts = sharedParts(rqs.Parts)
 	}
@@ -128,11 +128,12 @@
 func (srv *Server) NoteCrash(found exchange.Crash) {
 	now := srv.Now()
 	srv.mutex.Lock()
-	if srv.Suspects.Crashed(now, found.Digest, found.Endpoint) {
+	incarnation := dispatch.Incarnation{Endpoint: found.Endpoint, StartedAt: found.StartedAt}
+	if srv.Suspects.Crashed(now, found.Digest, incarnation) {
 		srv.Balancer.Failed(now, found.Endpoint, true)
 	}
 	condemned := srv.Blame.Crashed(now, now.Add(-milliseconds(found.AgeMS)), dispatch.PartCrash{
-		Endpoint: found.Endpoint, Digest: found.Digest, Parts: found.Parts, Begun: found.Begun,
+		Incarnation: incarnation, Digest: found.Digest, Parts: found.Parts, Begun: found.Begun,
 	})
 	ended := srv.endBeginning(condemned)
 	srv.mutex.Unlock()
@@ -177,13 +178,15 @@
 	var found []exchange.Crash
 	for at, rep := range srv.Blame.Crashes() {
 		if len(found) < maxSharedCrashes {
-			found = append(found, exchange.Crash{Digest: rep.Digest, Endpoint: rep.Endpoint, AgeMS: now.Sub(at).Milliseconds(), Parts: rep.Parts, Begun: rep.Begun})
+			found = append(found, exchange.Crash{Digest: rep.Digest, Endpoint: rep.Endpoint, StartedAt: rep.StartedAt, AgeMS: now.Sub(at).Milliseconds(), Parts: rep.Parts, Begun: rep.Begun})
 		}
 	}
-	srv.Suspects.Each(now, func(digest uint64, endpoint string) {
-		same := func(one exchange.Crash) bool { return one.Digest == digest && one.Endpoint == endpoint }
+	srv.Suspects.Each(now, func(digest uint64, endpoint dispatch.Incarnation) {
+		same := func(one exchange.Crash) bool {
+			return one.Digest == digest && one.Endpoint == endpoint.Endpoint && one.StartedAt == endpoint.StartedAt
+		}
 		if len(found) < maxSharedCrashes && !slices.ContainsFunc(found, same) {
-			found = append(found, exchange.Crash{Digest: digest, Endpoint: endpoint})
+			found = append(found, exchange.Crash{Digest: digest, Endpoint: endpoint.Endpoint, StartedAt: endpoint.StartedAt})
 		}
 	})
 	return found
--- a/gateway/failure_test.go
+++ b/gateway/failure_test.go
@@ -13,6 +13,7 @@
 	"papayacroft/catalog"
 	"papayacroft/control"
 	"papayacroft/dispatch"
+	"papayacroft/exchange"
 )
 
 // fixedSnapshot is a view that does not change.
@@ -83,3 +84,27 @@
 		}
 	}
 }
+
+// A request that crashes an engine each time it has started again under its id must be refused after three crashes, and
+// gossip must not count one of them twice.
+func TestCrashesOfOneEngineCount(t *testing.T) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	srv, peer := NewServer(), NewServer()
+	srv.Logger, peer.Logger = logger, logger
+	for started := range int64(3) {
+		now := srv.Now()
+		if srv.Suspects.Condemned(now, 7) || peer.Suspects.Condemned(now, 7) {
+			t.Fatalf("got the request condemned after %d crashes, want 3", started)
+		}
+		srv.NoteCrash(exchange.Crash{Digest: 7, Endpoint: "e", StartedAt: started + 1, Parts: []string{"part"}})
+		for range 2 {
+			for _, found := range srv.Crashes(now) {
+				peer.NoteCrash(found)
+			}
+		}
+	}
+	if now := srv.Now(); !srv.Suspects.Condemned(now, 7) || !peer.Suspects.Condemned(now, 7) {
+		t.Error("got the request not condemned after 3 crashes, want it condemned by both daemons")
+	}
+}
