Resume a stream at a further engine if the chosen one takes no connection

Callers saw streams end early that could have gone on: the engine chosen to resume them had just ended too, as after crashes of several engines. Change: a resumption that reached no engine chooses again, up to maxUnreached times; nothing has been sent, so attempts and budget are not used twice.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -349,23 +349,33 @@
 // resume continues the generation at another engine and reports whether that worked. It uses the copy of a move if
 // there is one; otherwise it sends a repeatable request to another engine.
 func (one *run) resume(ctx context.Context) bool {
+	from := one.endpoint
 	if cpy := one.awaitMove(ctx); cpy != nil {
 		go one.server.permit(ctx, cpy.endpoint.ID, true)
-		if one.reopen(ctx, cpy.endpoint, Forward{Copy: cpy.name}) {
+		if one.reopen(ctx, from, cpy.endpoint, Forward{Copy: cpy.name}) == outcomeAnswered {
 			return true
 		}
 	}
 	if one.endpoint == nil || !one.route.Repeatable() || one.sends >= one.route.Attempts || !one.server.spend(one.request) {
 		return false
 	}
-	one.excluded[one.endpoint.ID] = true
-	cho := one.server.choosePermitted(ctx, one.request, one.work, true)
-	return cho.Endpoint != nil && one.reopen(ctx, cho.Endpoint, Forward{})
+	one.excluded[from.ID] = true
+	for range maxUnreached {
+		cho := one.server.choosePermitted(ctx, one.request, one.work, true)
+		if cho.Endpoint == nil || ctx.Err() != nil {
+			return false
+		}
+		// An engine that has just ended takes no connection; the stream may go on at another one.
+		if res := one.reopen(ctx, from, cho.Endpoint, Forward{}); res != outcomeUnreached {
+			return res == outcomeAnswered
+		}
+	}
+	return false
 }
 
-// reopen sends the request to an engine, to continue the stream after the last event that the caller has received.
-func (one *run) reopen(ctx context.Context, edp *catalog.Endpoint, fwd Forward) bool {
-	last := one.endpoint
+// reopen sends the request to an engine, to continue the stream after the last event that the caller has received. Any
+// answer but a stream counts as unknown.
+func (one *run) reopen(ctx context.Context, from, edp *catalog.Endpoint, fwd Forward) outcome {
 	one.detach()
 	one.mutex.Lock()
 	fwd.LastEvent = one.lastEvent
@@ -377,14 +387,17 @@
 		status = one.link.Response.StatusCode
 	}
 	one.logger.WithFields(logrus.Fields{
-		fieldEndpoint: edp.ID, "from": last.ID, "copy": fwd.Copy, "lastEvent": fwd.LastEvent, fieldOutcome: res.String(),
+		fieldEndpoint: edp.ID, "from": from.ID, "copy": fwd.Copy, "lastEvent": fwd.LastEvent, fieldOutcome: res.String(),
 		"status": status, "error": errorText(err),
 	}).Info("stream resumed")
 	if res != outcomeAnswered {
 		one.endpoint, one.link = nil, nil
-		return false
+		return res
+	}
+	if status != http.StatusOK {
+		return outcomeUnknown
 	}
-	return status == http.StatusOK
+	return outcomeAnswered
 }
 
 // hasCrashed starts the check whether the engine of an interrupted stream has crashed. If the engine had just begun to
