Bound what gossip carries of blamed parts, and drop it with the crashes

Cause: expired crashes stayed in the list until the next one, so gossip went on to carry the soundness of all parts of up to 64 crashes, without end. Change: gossip carries the soundness of the parts of the crashes in the same message only; expired crashes are dropped on the tick. Receivers of blameCrash have a short name. Evidence: TestBlameIsBounded now checks that nothing is left an hour later; before, Forget did not exist and only a request with a condemned part pruned.

--- a/dispatch/blame.go
+++ b/dispatch/blame.go
@@ -80,28 +80,28 @@
 	if len(rep.Parts) == 0 || now.Sub(at) >= blameRetention {
 		return nil
 	}
-	crash := bla.find(at, rep.Endpoint)
-	if slices.ContainsFunc(crash.reports, func(old PartCrash) bool { return old.Digest == rep.Digest }) {
+	crs := bla.find(at, rep.Endpoint)
+	if slices.ContainsFunc(crs.reports, func(old PartCrash) bool { return old.Digest == rep.Digest }) {
 		return nil
 	}
-	crash.reports = append(crash.reports, rep)
+	crs.reports = append(crs.reports, rep)
 	return bla.evaluate(now)
 }
 
 // find returns the crash of an endpoint at a time; it adds one if it is not known yet.
 func (bla *Blame) find(at time.Time, endpoint string) *blameCrash {
-	for _, crash := range bla.crashes {
-		if crash.endpoint == endpoint && crash.at.Sub(at).Abs() < crashSpread {
-			return crash
+	for _, crs := range bla.crashes {
+		if crs.endpoint == endpoint && crs.at.Sub(at).Abs() < crashSpread {
+			return crs
 		}
 	}
-	crash := &blameCrash{endpoint: endpoint, at: at}
-	bla.crashes = append(bla.crashes, crash)
+	crs := &blameCrash{endpoint: endpoint, at: at}
+	bla.crashes = append(bla.crashes, crs)
 	slices.SortStableFunc(bla.crashes, func(one, other *blameCrash) int { return one.at.Compare(other.at) })
 	if len(bla.crashes) > maxBlameCrashes {
 		bla.crashes = slices.Delete(bla.crashes, 0, 1)
 	}
-	return crash
+	return crs
 }
 
 // Sound records that an engine produced an event at the time at for a request with these parts. It reports whether a
@@ -135,35 +135,37 @@
 }
 
 func (bla *Blame) isBlamed(part string) bool {
-	return slices.ContainsFunc(bla.crashes, func(crash *blameCrash) bool { return crash.has(part) })
+	return slices.ContainsFunc(bla.crashes, func(crs *blameCrash) bool { return crs.has(part) })
 }
 
-func (crash *blameCrash) has(part string) bool {
-	return slices.ContainsFunc(crash.reports, func(rep PartCrash) bool { return slices.Contains(rep.Parts, part) })
+func (crs *blameCrash) has(part string) bool {
+	return slices.ContainsFunc(crs.reports, func(rep PartCrash) bool { return slices.Contains(rep.Parts, part) })
 }
 
-// SoundParts returns, for blamed parts, what this daemon knows of their soundness, as the time since the latest event.
-func (bla *Blame) SoundParts(now time.Time) map[string]time.Duration {
+// SoundAges returns the time since the latest event of a request with each of the parts, for those that had one.
+func (bla *Blame) SoundAges(now time.Time, parts []string) map[string]time.Duration {
 	ages := map[string]time.Duration{}
-	for _, crash := range bla.crashes {
-		for _, rep := range crash.reports {
-			for _, part := range rep.Parts {
-				if at := bla.soundAt(part); !at.IsZero() {
-					ages[part] = now.Sub(at)
-				}
-			}
+	for _, part := range parts {
+		if at := bla.soundAt(part); !at.IsZero() {
+			ages[part] = now.Sub(at)
 		}
 	}
 	return ages
 }
 
-// News returns those of SoundParts that the other daemons do not know yet and that change what they blame.
+// News returns the SoundAges of blamed parts that the other daemons do not know yet and that change what they blame.
 func (bla *Blame) News(now time.Time) map[string]time.Duration {
-	news := bla.SoundParts(now)
+	var parts []string
+	for _, crs := range bla.crashes {
+		for _, rep := range crs.reports {
+			parts = append(parts, rep.Parts...)
+		}
+	}
+	news := bla.SoundAges(now, parts)
 	for part := range news {
 		known, at := bla.shared[part], bla.soundAt(part)
-		changes := slices.ContainsFunc(bla.crashes, func(crash *blameCrash) bool {
-			return crash.has(part) && known.Before(crash.at) && at.After(crash.at)
+		changes := slices.ContainsFunc(bla.crashes, func(crs *blameCrash) bool {
+			return crs.has(part) && known.Before(crs.at) && at.After(crs.at)
 		})
 		if !known.IsZero() && !changes {
 			delete(news, part)
@@ -173,7 +175,7 @@
 	return news
 }
 
-// Shared records that all daemons know of the soundness of parts, given as in SoundParts.
+// Shared records that all daemons know of the soundness of parts, given as in SoundAges.
 func (bla *Blame) Shared(now time.Time, ages map[string]time.Duration) {
 	for part, age := range ages {
 		if at := now.Add(-age); bla.isBlamed(part) && at.After(bla.shared[part]) {
@@ -191,10 +193,10 @@
 		return cmp.Compare(bla.rank(one), bla.rank(other))
 	})
 	return func(yield func(time.Time, PartCrash) bool) {
-		for _, crash := range crashes {
-			begun := crash.hasBegun()
-			for _, rep := range crash.reports {
-				if rep.Begun == begun && !yield(crash.at, rep) {
+		for _, crs := range crashes {
+			begun := crs.hasBegun()
+			for _, rep := range crs.reports {
+				if rep.Begun == begun && !yield(crs.at, rep) {
 					return
 				}
 			}
@@ -203,9 +205,9 @@
 }
 
 // rank returns 0 for a crash that a condemned part explains, 1 for others.
-func (bla *Blame) rank(crash *blameCrash) int {
+func (bla *Blame) rank(crs *blameCrash) int {
 	for _, explained := range bla.condemned {
-		if explained[crash] {
+		if explained[crs] {
 			return 0
 		}
 	}
@@ -218,9 +220,6 @@
 	if len(bla.condemned) == 0 {
 		return "", false
 	}
-	if now.Sub(bla.crashes[0].at) >= blameRetention {
-		bla.evaluate(now)
-	}
 	for _, part := range parts {
 		if _, ok := bla.condemned[part]; !ok {
 			continue
@@ -233,6 +232,13 @@
 	return "", trial
 }
 
+// Forget drops expired crashes and what is condemned for them.
+func (bla *Blame) Forget(now time.Time) {
+	if len(bla.crashes) > 0 && now.Sub(bla.crashes[0].at) >= blameRetention {
+		bla.evaluate(now)
+	}
+}
+
 // CondemnedCount returns the number of condemned parts.
 func (bla *Blame) CondemnedCount() int {
 	return len(bla.condemned)
@@ -263,8 +269,8 @@
 }
 
 func isSubset(one, other map[*blameCrash]bool) bool {
-	for crash := range one {
-		if !other[crash] {
+	for crs := range one {
+		if !other[crs] {
 			return false
 		}
 	}
@@ -273,7 +279,7 @@
 
 // evaluate drops expired crashes, determines the condemned parts and returns those that were not condemned before.
 func (bla *Blame) evaluate(now time.Time) (added []string) {
-	bla.crashes = slices.DeleteFunc(bla.crashes, func(crash *blameCrash) bool { return now.Sub(crash.at) >= blameRetention })
+	bla.crashes = slices.DeleteFunc(bla.crashes, func(crs *blameCrash) bool { return now.Sub(crs.at) >= blameRetention })
 	old := bla.condemned
 	bla.condemned = map[string]map[*blameCrash]bool{}
 	first, unproven := bla.candidates()
@@ -310,30 +316,30 @@
 // lossInterval.
 func (bla *Blame) count(crashes map[*blameCrash]bool) (begun, lost int) {
 	var lastLoss time.Time
-	for _, crash := range bla.crashes {
+	for _, crs := range bla.crashes {
 		switch {
-		case !crashes[crash]:
-		case crash.hasBegun():
+		case !crashes[crs]:
+		case crs.hasBegun():
 			begun++
-		case crash.at.Sub(lastLoss) >= lossInterval:
+		case crs.at.Sub(lastLoss) >= lossInterval:
 			lost++
-			lastLoss = crash.at
+			lastLoss = crs.at
 		}
 	}
 	return begun, lost
 }
 
-func (crash *blameCrash) hasBegun() bool {
-	return slices.ContainsFunc(crash.reports, func(rep PartCrash) bool { return rep.Begun })
+func (crs *blameCrash) hasBegun() bool {
+	return slices.ContainsFunc(crs.reports, func(rep PartCrash) bool { return rep.Begun })
 }
 
 // candidates returns the crashes by part that may be at fault for them: first the parts of requests that are blamed
 // before their other parts, unproven all parts without an event since the crash.
 func (bla *Blame) candidates() (first, unproven map[string]map[*blameCrash]bool) {
 	first, unproven = map[string]map[*blameCrash]bool{}, map[string]map[*blameCrash]bool{}
-	for _, crash := range bla.crashes {
-		begun := crash.hasBegun()
-		for _, rep := range crash.reports {
+	for _, crs := range bla.crashes {
+		begun := crs.hasBegun()
+		for _, rep := range crs.reports {
 			// If the endpoint had begun to answer a request, the requests that waited there are not at fault.
 			if rep.Begun != begun {
 				continue
@@ -341,12 +347,12 @@
 			neverSent := slices.ContainsFunc(rep.Parts, func(part string) bool { return bla.soundAt(part).IsZero() })
 			for _, part := range rep.Parts {
 				at := bla.soundAt(part)
-				if at.After(crash.at) {
+				if at.After(crs.at) {
 					continue
 				}
-				add(unproven, part, crash)
+				add(unproven, part, crs)
 				if at.IsZero() || !neverSent {
-					add(first, part, crash)
+					add(first, part, crs)
 				}
 			}
 		}
@@ -354,9 +360,9 @@
 	return first, unproven
 }
 
-func add(sets map[string]map[*blameCrash]bool, part string, crash *blameCrash) {
+func add(sets map[string]map[*blameCrash]bool, part string, crs *blameCrash) {
 	if sets[part] == nil {
 		sets[part] = map[*blameCrash]bool{}
 	}
-	sets[part][crash] = true
+	sets[part][crs] = true
 }
--- a/dispatch/blame_test.go
+++ b/dispatch/blame_test.go
@@ -40,6 +40,7 @@
 			bla := NewBlame()
 			for number, stp := range cse.Steps {
 				now := testNow.Add(stp.At)
+				bla.Forget(now)
 				switch {
 				case stp.Crash != "":
 					bla.Crashed(now, now, PartCrash{Incarnation: Incarnation{Endpoint: stp.Crash}, Digest: uint64(number), Parts: stp.Parts, Begun: stp.Begun})
@@ -93,6 +94,10 @@
 	if got, want := len(bla.crashes), maxBlameCrashes; got > want {
 		t.Errorf("got %d crashes, want %d at most", got, want)
 	}
+	bla.Forget(testNow.Add(time.Hour))
+	if got, want := len(bla.crashes)+len(bla.condemned)+len(bla.shared)+len(bla.triedAt), 0; got != want {
+		t.Errorf("got %d entries of crashes an hour later, want %d", got, want)
+	}
 }
 
 // A daemon that starts later must learn from a bounded message why a part is condemned, whatever crashed since.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -91,7 +91,7 @@
 	// Crashes returns recent crashes, NoteCrash records one.
 	Crashes(now time.Time) []Crash
 	NoteCrash(found Crash)
-	// SoundParts returns blamed parts of prompts that are known to be sound, NoteSoundParts records some.
+	// SoundParts returns the parts in Crashes that are known to be sound, NoteSoundParts records some.
 	SoundParts(now time.Time) SoundParts
 	NoteSoundParts(parts SoundParts)
 	// GrantPermit answers a daemon that asks for a permit.
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -202,11 +202,15 @@
 	}
 }
 
-// SoundParts returns blamed parts of prompts that are known to be sound.
+// SoundParts returns what is known of the soundness of the parts in Crashes.
 func (srv *Server) SoundParts(now time.Time) exchange.SoundParts {
+	var parts []string
+	for _, found := range srv.Crashes(now) {
+		parts = append(parts, found.Parts...)
+	}
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
-	return inMilliseconds(srv.Blame.SoundParts(now))
+	return inMilliseconds(srv.Blame.SoundAges(now, parts))
 }
 
 // NoteSoundParts records what a peer knows of the soundness of parts.
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -138,6 +138,7 @@
 		defer srv.mutex.Unlock()
 		srv.Budget.Daemons = len(dmn.Exchange.Members())
 		srv.Balancer.Forget(srv.Now(), snp.Fleet)
+		srv.Blame.Forget(srv.Now())
 		srv.Throttle.Forget(srv.Now())
 		srv.Permits.Forget(srv.Now())
 	}
