Tell all daemons of the limit that an endpoint names

Cause: each daemon learned a limit by its own first answer. In a large fleet that takes seconds, and each sends one request or more until then. Change: a daemon whose answer changes a limit tells the one that hands out the permits, and that one broadcasts it, once a second at most.

--- a/dispatch/throttle.go
+++ b/dispatch/throttle.go
@@ -5,6 +5,8 @@
 const (
 	// rateLimitLifetime is how long a limit counts that the endpoint has not named again.
 	rateLimitLifetime = 30 * time.Second
+	// shareInterval is the minimum time between two messages about the limit of one endpoint.
+	shareInterval = time.Second
 	// maxDenial bounds the time for which an endpoint is not asked for again after a denial.
 	maxDenial = time.Second
 )
@@ -23,11 +25,13 @@
 type Throttle struct {
 	limits map[string]RateLimit
 	denied map[string]time.Time
+	// sharedAt is when this daemon last told others of an endpoint's limit.
+	sharedAt map[string]time.Time
 }
 
 // NewThrottle returns a Throttle that knows no limits.
 func NewThrottle() *Throttle {
-	return &Throttle{limits: map[string]RateLimit{}, denied: map[string]time.Time{}}
+	return &Throttle{limits: map[string]RateLimit{}, denied: map[string]time.Time{}, sharedAt: map[string]time.Time{}}
 }
 
 // Learn records what an endpoint said, unless something later is known. It reports whether the limit has changed.
@@ -52,6 +56,15 @@
 	return lim
 }
 
+// MayShare reports whether other daemons may be told of an endpoint's limit now, and counts that they are.
+func (thr *Throttle) MayShare(now time.Time, id string) bool {
+	if now.Sub(thr.sharedAt[id]) < shareInterval {
+		return false
+	}
+	thr.sharedAt[id] = now
+	return true
+}
+
 // Deny records that no permit for an endpoint is to be had for a time.
 func (thr *Throttle) Deny(now time.Time, id string, wait time.Duration) {
 	thr.denied[id] = now.Add(min(wait, maxDenial))
@@ -79,6 +92,7 @@
 		if now.Sub(lim.At) >= rateLimitLifetime {
 			delete(thr.limits, id)
 			delete(thr.denied, id)
+			delete(thr.sharedAt, id)
 		}
 	}
 }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -96,6 +96,8 @@
 	NoteSoundParts(parts SoundParts)
 	// GrantPermit answers a daemon that asks for a permit.
 	GrantPermit(req *PermitRequest) *PermitReply
+	// NoteLimit records an endpoint's limit, and reports whether other daemons should be told.
+	NoteLimit(lim *EndpointLimit) bool
 }
 
 // Exchange gossips with other daemons: it exchanges load, endpoints that leave, crashes and configuration versions, and
@@ -158,6 +160,14 @@
 	srv.Handlers[permitMethod] = answer(func(_ context.Context, req *PermitRequest) any {
 		return exc.Requests.GrantPermit(req)
 	})
+	exc.broadcasts[limitMethod] = answer(func(_ context.Context, lim *EndpointLimit) any {
+		exc.Requests.NoteLimit(lim)
+		return nil
+	})
+	srv.Handlers[limitMethod] = answer(func(_ context.Context, lim *EndpointLimit) any {
+		exc.receiveLimit(lim)
+		return nil
+	})
 	exc.broadcasts[leavingMethod] = answer(func(ctx context.Context, msg *message) any {
 		exc.Control.Send(ctx, control.Leaving{BornAt: msg.Leaving, Source: msg.Name})
 		return nil
--- a/exchange/permits.go
+++ b/exchange/permits.go
@@ -9,6 +9,7 @@
 
 const (
 	permitMethod = "gateway.permit"
+	limitMethod  = "gateway.limit"
 	// permitTimeout limits the wait for a permit; then the daemon counts as one that does not answer, and another one
 	// hands out the permits.
 	permitTimeout = 200 * time.Millisecond
@@ -38,6 +39,22 @@
 	WaitMS  int64 `json:"waitMs,omitempty"`
 }
 
+// ShareLimit tells the daemon that hands out the permits for an endpoint what the endpoint said. That one tells all.
+func (exc *Exchange) ShareLimit(lim *EndpointLimit) {
+	if per, isPeer := exc.Answering()[exc.Assigned(lim.Endpoint)]; isPeer {
+		exc.notify(context.Background(), per.Address, limitMethod, lim)
+		return
+	}
+	exc.broadcast(context.Background(), limitMethod, lim)
+}
+
+// receiveLimit records what a daemon got to know of a limit, and tells all if this daemon hands out the permits.
+func (exc *Exchange) receiveLimit(lim *EndpointLimit) {
+	if exc.Requests.NoteLimit(lim) && exc.Assigned(lim.Endpoint) == exc.Name {
+		exc.ShareLimit(lim)
+	}
+}
+
 // AskPermit asks the daemon that hands out the permits for an endpoint, which may be this one. If it does not answer, it
 // asks the one that takes its place.
 func (exc *Exchange) AskPermit(ctx context.Context, req *PermitRequest) (*PermitReply, error) {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -66,6 +66,8 @@
 	Permits *dispatch.Permits
 	// AskPermit asks the daemon that hands out the permits for an endpoint; without it, this daemon does.
 	AskPermit func(ctx context.Context, req *exchange.PermitRequest) (*exchange.PermitReply, error)
+	// OnLimit, if set, is called when an endpoint has named another limit or none.
+	OnLimit func(lim *exchange.EndpointLimit)
 	// Blame finds the parts of prompts that crash endpoints.
 	Blame   *dispatch.Blame
 	Metrics *Metrics
@@ -420,7 +422,7 @@
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
 	now := srv.Now()
-	srv.learnLimit(id, rateLimit(now, ans), sourceAnswer)
+	srv.learnFromAnswer(now, id, ans)
 	if ans.Load != nil {
 		srv.Balancer.Reported(now, id, ans.Load.Running, ans.Load.Waiting)
 	}
--- a/gateway/throttle.go
+++ b/gateway/throttle.go
@@ -31,11 +31,30 @@
 	return dispatch.RateLimit{PerSecond: *ans.RateLimit, Named: true, At: now}
 }
 
-// learnLimit records the limit that an endpoint names; the caller holds the mutex.
-func (srv *Server) learnLimit(id string, lim dispatch.RateLimit, source string) {
-	if srv.Throttle.Learn(id, lim) {
-		srv.Logger.WithFields(logrus.Fields{fieldEndpoint: id, "perSecond": lim.PerSecond, "limited": lim.Named, "source": source}).Info("limit of an endpoint changed")
+// learnLimit records the limit that an endpoint names, and reports whether other daemons should be told; the caller holds
+// the mutex.
+func (srv *Server) learnLimit(now time.Time, id string, lim dispatch.RateLimit, source string) (share bool) {
+	if !srv.Throttle.Learn(id, lim) {
+		return false
 	}
+	srv.Logger.WithFields(logrus.Fields{fieldEndpoint: id, "perSecond": lim.PerSecond, "limited": lim.Named, "source": source}).Info("limit of an endpoint changed")
+	return srv.Throttle.MayShare(now, id)
+}
+
+// learnFromAnswer records what an endpoint's answer says of its limit; the caller holds the mutex.
+func (srv *Server) learnFromAnswer(now time.Time, id string, ans Answer) {
+	lim := rateLimit(now, ans)
+	if srv.learnLimit(now, id, lim, sourceAnswer) && srv.OnLimit != nil {
+		go srv.OnLimit(&exchange.EndpointLimit{Endpoint: id, PerSecond: lim.PerSecond, Named: lim.Named})
+	}
+}
+
+// NoteLimit records an endpoint's limit that another daemon knows, and reports whether other daemons should be told.
+func (srv *Server) NoteLimit(lim *exchange.EndpointLimit) bool {
+	now := srv.Now()
+	srv.mutex.Lock()
+	defer srv.mutex.Unlock()
+	return srv.learnLimit(now, lim.Endpoint, fromPeer(now, lim), sourcePeer)
 }
 
 // awaitEndpoint chooses an endpoint for the request and takes a permit for it if it names a limit. If all endpoints are
@@ -84,7 +103,7 @@
 			srv.Throttle.Deny(now, id, permitRetry)
 			return force
 		}
-		srv.learnLimit(id, fromPeer(now, &rep.EndpointLimit), sourcePeer)
+		srv.learnLimit(now, id, fromPeer(now, &rep.EndpointLimit), sourcePeer)
 		if !rep.Granted {
 			srv.Throttle.Deny(now, id, max(minDenial, milliseconds(rep.WaitMS)))
 		}
@@ -102,9 +121,9 @@
 // GrantPermit answers a daemon that asks for a permit.
 func (srv *Server) GrantPermit(req *exchange.PermitRequest) *exchange.PermitReply {
 	now := srv.Now()
-	srv.mutex.Lock()
-	srv.learnLimit(req.Endpoint, fromPeer(now, &req.EndpointLimit), sourcePeer)
-	srv.mutex.Unlock()
+	if srv.NoteLimit(&req.EndpointLimit) && srv.OnLimit != nil {
+		go srv.OnLimit(&req.EndpointLimit)
+	}
 	lim, limited := srv.endpointLimit(now, req.Endpoint)
 	if !limited {
 		return &exchange.PermitReply{EndpointLimit: lim, Granted: true}
