--- a/exchange/fleet_test.go
+++ b/exchange/fleet_test.go
@@ -436,5 +436,5 @@
 func (idleRequests) SoundParts(time.Time) exchange.SoundParts                  { return nil }
 func (idleRequests) NoteSoundParts(exchange.SoundParts)                        {}
 func (idleRequests) GrantPermit(*exchange.PermitRequest) *exchange.PermitReply { return nil }
-func (idleRequests) NoteLimit(*exchange.EndpointLimit) bool { return false }
+func (idleRequests) NoteLimit(*exchange.EndpointLimit) bool                    { return false }
 func (idleRequests) NoteCrash(exchange.Crash)                                  {}
--- a/exchange/work_test.go
+++ b/exchange/work_test.go
@@ -34,7 +34,7 @@
 func (*steadyRequests) SoundParts(time.Time) exchange.SoundParts                  { return nil }
 func (*steadyRequests) NoteSoundParts(exchange.SoundParts)                        {}
 func (*steadyRequests) GrantPermit(*exchange.PermitRequest) *exchange.PermitReply { return nil }
-func (*steadyRequests) NoteLimit(*exchange.EndpointLimit) bool { return false }
+func (*steadyRequests) NoteLimit(*exchange.EndpointLimit) bool                    { return false }
 func (*steadyRequests) NoteCrash(exchange.Crash)                                  {}
 
 func (rqs *steadyRequests) LocalUsage() map[string]dispatch.Usage {
