--- a/dispatch/throttle.go
+++ b/dispatch/throttle.go
@@ -25,7 +25,7 @@
 type Throttle struct {
 	limits map[string]RateLimit
 	denied map[string]time.Time
-	// sharedAt is when this daemon last told others of an endpoint's limit.
+	// sharedAt is when this daemon last announced an endpoint's limit.
 	sharedAt map[string]time.Time
 }
 
@@ -56,7 +56,7 @@
 	return lim
 }
 
-// MayShare reports whether other daemons may be told of an endpoint's limit now, and counts that they are.
+// MayShare reports whether an endpoint's limit may be announced to other daemons now, and records the announcement.
 func (thr *Throttle) MayShare(now time.Time, id string) bool {
 	if now.Sub(thr.sharedAt[id]) < shareInterval {
 		return false
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -96,7 +96,7 @@
 	NoteSoundParts(parts SoundParts)
 	// GrantPermit answers a daemon that asks for a permit.
 	GrantPermit(req *PermitRequest) *PermitReply
-	// NoteLimit records an endpoint's limit, and reports whether other daemons should be told.
+	// NoteLimit records an endpoint's limit, and reports whether to announce it to other daemons.
 	NoteLimit(lim *EndpointLimit) bool
 }
 
--- a/exchange/permits.go
+++ b/exchange/permits.go
@@ -47,7 +47,7 @@
 	Ask string `json:"ask,omitempty"`
 }
 
-// ShareLimit tells the daemon that hands out the permits for an endpoint what the endpoint said. That one tells all.
+// ShareLimit sends an endpoint's limit to the daemon that hands out its permits, which broadcasts it.
 func (exc *Exchange) ShareLimit(lim *EndpointLimit) {
 	if per, isPeer := exc.Answering()[exc.Assigned(lim.Endpoint)]; isPeer {
 		exc.notify(context.Background(), per.Address, limitMethod, lim)
@@ -56,7 +56,7 @@
 	exc.broadcast(context.Background(), limitMethod, lim)
 }
 
-// receiveLimit records what a daemon got to know of a limit, and tells all if this daemon hands out the permits.
+// receiveLimit records a limit that a peer has learned, and broadcasts it if this daemon hands out the permits.
 func (exc *Exchange) receiveLimit(lim *EndpointLimit) {
 	if exc.Requests.NoteLimit(lim) && exc.Assigned(lim.Endpoint) == exc.Name {
 		exc.ShareLimit(lim)
--- /dev/null
+++ b/gateway/scenario_call_test.go
@@ -0,0 +1,98 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+type siteCall struct {
+	id         string
+	mutex      sync.Mutex
+	status     int
+	body       string
+	events     []int
+	complete   bool
+	err        error
+	retryAfter string
+	cancel     context.CancelFunc
+	done       chan struct{}
+}
+
+func (sit *site) startCall(name, daemon, target string, key []string) {
+	sit.startPrompt(name, daemon, target, "", key)
+}
+
+// startPrompt starts a request; prompt has the ids of its parts, separated by commas.
+func (sit *site) startPrompt(name, daemon, target, prompt string, key []string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cal := &siteCall{id: "id-" + name, cancel: cancel, done: make(chan struct{})}
+	sit.calls[name] = cal
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+sit.daemons[daemon].caller+target, strings.NewReader("body of "+target+prompt))
+	if err != nil {
+		sit.fatalf("%v", err)
+	}
+	req.Host = "site.example"
+	req.Header.Set("Attempt-Id", cal.id)
+	req.Header.Set("Token-Usage", "100,400")
+	req.Header.Set("Tenant", "forged")
+	if prompt != "" {
+		req.Header.Set("Prompt-Prefix", strings.ReplaceAll(prompt, ",", ":50,")+":50")
+	}
+	credential := "key-one"
+	if len(key) > 0 {
+		credential = key[0]
+	}
+	req.Header.Set("Authorization", "Bearer "+credential)
+	go cal.run(req)
+}
+
+func (cal *siteCall) run(req *http.Request) {
+	defer close(cal.done)
+	clt := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	res, err := clt.Do(req)
+	if err != nil {
+		cal.err = err
+		return
+	}
+	defer res.Body.Close()
+	cal.status, cal.retryAfter = res.StatusCode, res.Header.Get("Retry-After")
+	if res.Header.Get("Content-Type") != "text/event-stream" {
+		var body []byte
+		body, cal.err = io.ReadAll(res.Body)
+		cal.body, cal.complete = string(body), cal.err == nil
+		return
+	}
+	scn := bufio.NewScanner(res.Body)
+	for scn.Scan() {
+		if text, ok := strings.CutPrefix(scn.Text(), "id: "); ok {
+			event, _ := strconv.Atoi(text)
+			cal.mutex.Lock()
+			cal.events = append(cal.events, event)
+			cal.mutex.Unlock()
+		}
+	}
+	cal.err = scn.Err()
+	cal.complete = cal.err == nil
+}
+
+func (cal *siteCall) received() []int {
+	cal.mutex.Lock()
+	defer cal.mutex.Unlock()
+	return cal.events
+}
+
+func (sit *site) finished(name string) *siteCall {
+	cal := sit.calls[name]
+	select {
+	case <-cal.done:
+	case <-time.After(stepTimeout):
+		sit.fatalf("call %s did not end", name)
+	}
+	return cal
+}
--- /dev/null
+++ b/gateway/scenario_start_test.go
@@ -0,0 +1,159 @@
+package gateway_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"papayacroft/document"
+	"papayacroft/gateway"
+	"papayacroft/logline"
+	"papayacroft/platform"
+	"papayacroft/settings"
+	"papayacroft/standin"
+)
+
+func (sit *site) startEngine(args []string) {
+	sit.born++
+	edp := &siteEndpoint{SiteEngine: standin.NewSiteEngine(args[0]), service: args[1], domain: args[2], born: sit.born}
+	for i := 3; i+1 < len(args); i += 2 {
+		switch args[i] {
+		case "copy":
+			edp.CopyTime = sit.duration(args[i+1])
+		case "interval":
+			edp.Interval = sit.duration(args[i+1])
+		}
+	}
+	edp.answering.Store(edp.SiteEngine)
+	edp.server = httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		edp.answering.Load().ServeHTTP(wri, req)
+	}))
+	edp.Crash = func() {
+		edp.crashed.Store(true)
+		_ = edp.server.Listener.Close()
+	}
+	sit.pool.Put(edp.server.Listener.Addr().String(), edp.SiteEngine)
+	sit.engines[args[0]] = edp
+	sit.beat(args[0], "ready")
+}
+
+func (sit *site) beat(id, state string) {
+	edp := sit.engines[id]
+	edp.beats++
+	entry, err := json.Marshal(map[string]any{
+		"service": edp.service, "address": edp.server.Listener.Addr().String(), "zone": edp.domain, "slots": 8, "state": state,
+		"sequence": edp.beats, "born": edp.born, "coldLeftMs": 0,
+	})
+	if err != nil {
+		sit.fatalf("%v", err)
+	}
+	sit.store.Put("keyed.servers", id, entry)
+}
+
+// configuration returns a configuration with two services and a route for each kind of request.
+func configuration(version string, changes []string) []byte {
+	without := map[string]bool{}
+	moved := map[string]string{}
+	more := 0
+	for i := 0; i < len(changes); i++ {
+		switch changes[i] {
+		case "routes":
+			i++
+			more, _ = strconv.Atoi(changes[i])
+		case "without":
+			i++
+			without[changes[i]] = true
+		case "move":
+			moved[changes[i+1]] = changes[i+2]
+			i += 2
+		}
+	}
+	var routes []map[string]any
+	for _, rou := range []map[string]any{
+		{"name": "once", "kind": "non_idempotent", "service": "desk", "maxAttempts": 1, "timeoutMs": 2000, "targetLatencyMs": 500},
+		{"name": "again", "kind": "idempotent", "service": "desk", "maxAttempts": 2, "timeoutMs": 2000, "targetLatencyMs": 500},
+		{"name": "long", "kind": "stream", "service": "pool", "maxAttempts": 1, "timeoutMs": 30000, "targetLatencyMs": 3000},
+		{"name": "short", "kind": "stream", "service": "pool", "maxAttempts": 2, "timeoutMs": 30000, "targetLatencyMs": 3000, "resumable": true},
+		{"name": "open", "kind": "idempotent", "service": "desk", "maxAttempts": 2, "timeoutMs": 2000, "targetLatencyMs": 500, "public": true},
+	} {
+		name := rou["name"].(string)
+		if without[name] {
+			continue
+		}
+		if service, ok := moved[name]; ok {
+			rou["service"] = service
+		}
+		rou["host"], rou["pathPrefix"] = "site.example", "/"+name+"/"
+		routes = append(routes, rou)
+	}
+	for number := range more {
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprintf("more%d", number), "host": "site.example", "pathPrefix": fmt.Sprintf("/more%d/", number),
+			"kind": "idempotent", "service": "desk", "maxAttempts": 2, "timeoutMs": 2000, "targetLatencyMs": 500,
+		})
+	}
+	var tenants []map[string]any
+	for _, name := range []string{"one", "two"} {
+		if !without[name] {
+			tenants = append(tenants, map[string]any{"name": name, "apiKeys": []string{"key-" + name}})
+		}
+	}
+	engine := map[string]any{
+		"slots": 8, "kvCapacityTokens": 30000, "moves": true, "backups": true, "stride": 4, "handleS": 5, "kvTokenBytes": 1000, "linkMbps": 10000,
+	}
+	num, _ := strconv.Atoi(version)
+	data, _ := json.Marshal(map[string]any{
+		"version": num, "routes": routes, "tenants": tenants,
+		"services": []map[string]any{{"name": "desk", "protocol": "h1"}, {"name": "pool", "protocol": "h1", "engine": engine}},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
+	return data
+}
+
+func (sit *site) startDaemon(name, domain string) {
+	one := &siteDaemon{done: make(chan error, 1)}
+	storeProxy := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		if one.denied.Load() {
+			wri.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		sit.store.ServeHTTP(wri, req)
+	}))
+	sit.t.Cleanup(storeProxy.CloseClientConnections)
+	logger := logrus.New()
+	logger.SetOutput(sit.logs)
+	logger.SetFormatter(logline.NewFormatter(name))
+	addresses, err := standin.FreeAddresses(4)
+	if err != nil {
+		sit.fatalf("%v", err)
+	}
+	set := &settings.Gateway{
+		Name: name, FailureDomain: domain, CallerAddress: addresses[0], ReadyAddress: addresses[1],
+		PeerAddress: addresses[2], MetricsAddress: addresses[3], StoreAddress: storeProxy.Listener.Addr().String(), DrainNotice: document.Duration(8 * time.Second),
+		Retries: settings.RetryBudget{Ratio: 0.2, Extra: 50, Window: document.Duration(10 * time.Second)},
+		Log:     settings.Log{Level: "info", Format: "json"},
+	}
+	dmn := gateway.NewDaemon()
+	dmn.Settings, dmn.Logger = set, logger
+	platform.Attach(dmn)
+	ctx, cancel := context.WithCancel(context.Background())
+	dmn.Kill, one.kill = context.WithCancel(context.Background())
+	one.Daemon = dmn
+	one.caller, one.ready, one.metrics, one.stop = set.CallerAddress, set.ReadyAddress, set.MetricsAddress, cancel
+	sit.daemons[name] = one
+	go func() { one.done <- dmn.Run(ctx) }()
+	sit.await("the daemon to listen", func() bool {
+		con, err := net.Dial("tcp", set.CallerAddress)
+		if err == nil {
+			_ = con.Close()
+		}
+		return err == nil
+	})
+}
--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -1,13 +1,9 @@
 package gateway_test
 
 import (
-	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"path/filepath"
@@ -19,13 +15,9 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/txtar"
-	"github.com/sirupsen/logrus"
 
-	"papayacroft/document"
 	"papayacroft/gateway"
 	"papayacroft/logline"
-	"papayacroft/platform"
-	"papayacroft/settings"
 	"papayacroft/standin"
 )
 
@@ -108,19 +100,6 @@
 	done       chan error
 }
 
-type siteCall struct {
-	id         string
-	mutex      sync.Mutex
-	status     int
-	body       string
-	events     []int
-	complete   bool
-	err        error
-	retryAfter string
-	cancel     context.CancelFunc
-	done       chan struct{}
-}
-
 type safeBuffer struct {
 	mutex  sync.Mutex
 	buffer bytes.Buffer
@@ -416,214 +395,3 @@
 	}
 	return runs
 }
-
-func (sit *site) startEngine(args []string) {
-	sit.born++
-	edp := &siteEndpoint{SiteEngine: standin.NewSiteEngine(args[0]), service: args[1], domain: args[2], born: sit.born}
-	for i := 3; i+1 < len(args); i += 2 {
-		switch args[i] {
-		case "copy":
-			edp.CopyTime = sit.duration(args[i+1])
-		case "interval":
-			edp.Interval = sit.duration(args[i+1])
-		}
-	}
-	edp.answering.Store(edp.SiteEngine)
-	edp.server = httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
-		edp.answering.Load().ServeHTTP(wri, req)
-	}))
-	edp.Crash = func() {
-		edp.crashed.Store(true)
-		_ = edp.server.Listener.Close()
-	}
-	sit.pool.Put(edp.server.Listener.Addr().String(), edp.SiteEngine)
-	sit.engines[args[0]] = edp
-	sit.beat(args[0], "ready")
-}
-
-func (sit *site) beat(id, state string) {
-	edp := sit.engines[id]
-	edp.beats++
-	entry, err := json.Marshal(map[string]any{
-		"service": edp.service, "address": edp.server.Listener.Addr().String(), "zone": edp.domain, "slots": 8, "state": state,
-		"sequence": edp.beats, "born": edp.born, "coldLeftMs": 0,
-	})
-	if err != nil {
-		sit.fatalf("%v", err)
-	}
-	sit.store.Put("keyed.servers", id, entry)
-}
-
-// configuration returns a configuration with two services and a route for each kind of request.
-func configuration(version string, changes []string) []byte {
-	without := map[string]bool{}
-	moved := map[string]string{}
-	more := 0
-	for i := 0; i < len(changes); i++ {
-		switch changes[i] {
-		case "routes":
-			i++
-			more, _ = strconv.Atoi(changes[i])
-		case "without":
-			i++
-			without[changes[i]] = true
-		case "move":
-			moved[changes[i+1]] = changes[i+2]
-			i += 2
-		}
-	}
-	var routes []map[string]any
-	for _, rou := range []map[string]any{
-		{"name": "once", "kind": "non_idempotent", "service": "desk", "maxAttempts": 1, "timeoutMs": 2000, "targetLatencyMs": 500},
-		{"name": "again", "kind": "idempotent", "service": "desk", "maxAttempts": 2, "timeoutMs": 2000, "targetLatencyMs": 500},
-		{"name": "long", "kind": "stream", "service": "pool", "maxAttempts": 1, "timeoutMs": 30000, "targetLatencyMs": 3000},
-		{"name": "short", "kind": "stream", "service": "pool", "maxAttempts": 2, "timeoutMs": 30000, "targetLatencyMs": 3000, "resumable": true},
-		{"name": "open", "kind": "idempotent", "service": "desk", "maxAttempts": 2, "timeoutMs": 2000, "targetLatencyMs": 500, "public": true},
-	} {
-		name := rou["name"].(string)
-		if without[name] {
-			continue
-		}
-		if service, ok := moved[name]; ok {
-			rou["service"] = service
-		}
-		rou["host"], rou["pathPrefix"] = "site.example", "/"+name+"/"
-		routes = append(routes, rou)
-	}
-	for number := range more {
-		routes = append(routes, map[string]any{
-			"name": fmt.Sprintf("more%d", number), "host": "site.example", "pathPrefix": fmt.Sprintf("/more%d/", number),
-			"kind": "idempotent", "service": "desk", "maxAttempts": 2, "timeoutMs": 2000, "targetLatencyMs": 500,
-		})
-	}
-	var tenants []map[string]any
-	for _, name := range []string{"one", "two"} {
-		if !without[name] {
-			tenants = append(tenants, map[string]any{"name": name, "apiKeys": []string{"key-" + name}})
-		}
-	}
-	engine := map[string]any{
-		"slots": 8, "kvCapacityTokens": 30000, "moves": true, "backups": true, "stride": 4, "handleS": 5, "kvTokenBytes": 1000, "linkMbps": 10000,
-	}
-	num, _ := strconv.Atoi(version)
-	data, _ := json.Marshal(map[string]any{
-		"version": num, "routes": routes, "tenants": tenants,
-		"services": []map[string]any{{"name": "desk", "protocol": "h1"}, {"name": "pool", "protocol": "h1", "engine": engine}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
-	return data
-}
-
-func (sit *site) startDaemon(name, domain string) {
-	one := &siteDaemon{done: make(chan error, 1)}
-	storeProxy := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
-		if one.denied.Load() {
-			wri.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		sit.store.ServeHTTP(wri, req)
-	}))
-	sit.t.Cleanup(storeProxy.CloseClientConnections)
-	logger := logrus.New()
-	logger.SetOutput(sit.logs)
-	logger.SetFormatter(logline.NewFormatter(name))
-	addresses, err := standin.FreeAddresses(4)
-	if err != nil {
-		sit.fatalf("%v", err)
-	}
-	set := &settings.Gateway{
-		Name: name, FailureDomain: domain, CallerAddress: addresses[0], ReadyAddress: addresses[1],
-		PeerAddress: addresses[2], MetricsAddress: addresses[3], StoreAddress: storeProxy.Listener.Addr().String(), DrainNotice: document.Duration(8 * time.Second),
-		Retries: settings.RetryBudget{Ratio: 0.2, Extra: 50, Window: document.Duration(10 * time.Second)},
-		Log:     settings.Log{Level: "info", Format: "json"},
-	}
-	dmn := gateway.NewDaemon()
-	dmn.Settings, dmn.Logger = set, logger
-	platform.Attach(dmn)
-	ctx, cancel := context.WithCancel(context.Background())
-	dmn.Kill, one.kill = context.WithCancel(context.Background())
-	one.Daemon = dmn
-	one.caller, one.ready, one.metrics, one.stop = set.CallerAddress, set.ReadyAddress, set.MetricsAddress, cancel
-	sit.daemons[name] = one
-	go func() { one.done <- dmn.Run(ctx) }()
-	sit.await("the daemon to listen", func() bool {
-		con, err := net.Dial("tcp", set.CallerAddress)
-		if err == nil {
-			_ = con.Close()
-		}
-		return err == nil
-	})
-}
-
-func (sit *site) startCall(name, daemon, target string, key []string) {
-	sit.startPrompt(name, daemon, target, "", key)
-}
-
-// startPrompt starts a request; prompt has the ids of its parts, separated by commas.
-func (sit *site) startPrompt(name, daemon, target, prompt string, key []string) {
-	ctx, cancel := context.WithCancel(context.Background())
-	cal := &siteCall{id: "id-" + name, cancel: cancel, done: make(chan struct{})}
-	sit.calls[name] = cal
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+sit.daemons[daemon].caller+target, strings.NewReader("body of "+target+prompt))
-	if err != nil {
-		sit.fatalf("%v", err)
-	}
-	req.Host = "site.example"
-	req.Header.Set("Attempt-Id", cal.id)
-	req.Header.Set("Token-Usage", "100,400")
-	req.Header.Set("Tenant", "forged")
-	if prompt != "" {
-		req.Header.Set("Prompt-Prefix", strings.ReplaceAll(prompt, ",", ":50,")+":50")
-	}
-	credential := "key-one"
-	if len(key) > 0 {
-		credential = key[0]
-	}
-	req.Header.Set("Authorization", "Bearer "+credential)
-	go cal.run(req)
-}
-
-func (cal *siteCall) run(req *http.Request) {
-	defer close(cal.done)
-	clt := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	res, err := clt.Do(req)
-	if err != nil {
-		cal.err = err
-		return
-	}
-	defer res.Body.Close()
-	cal.status, cal.retryAfter = res.StatusCode, res.Header.Get("Retry-After")
-	if res.Header.Get("Content-Type") != "text/event-stream" {
-		var body []byte
-		body, cal.err = io.ReadAll(res.Body)
-		cal.body, cal.complete = string(body), cal.err == nil
-		return
-	}
-	scn := bufio.NewScanner(res.Body)
-	for scn.Scan() {
-		if text, ok := strings.CutPrefix(scn.Text(), "id: "); ok {
-			event, _ := strconv.Atoi(text)
-			cal.mutex.Lock()
-			cal.events = append(cal.events, event)
-			cal.mutex.Unlock()
-		}
-	}
-	cal.err = scn.Err()
-	cal.complete = cal.err == nil
-}
-
-func (cal *siteCall) received() []int {
-	cal.mutex.Lock()
-	defer cal.mutex.Unlock()
-	return cal.events
-}
-
-func (sit *site) finished(name string) *siteCall {
-	cal := sit.calls[name]
-	select {
-	case <-cal.done:
-	case <-time.After(stepTimeout):
-		sit.fatalf("call %s did not end", name)
-	}
-	return cal
-}
--- a/gateway/throttle.go
+++ b/gateway/throttle.go
@@ -31,8 +31,8 @@
 	return dispatch.RateLimit{PerSecond: *ans.RateLimit, Named: true, At: now}
 }
 
-// learnLimit records the limit that an endpoint names, and reports whether other daemons should be told; the caller holds
-// the mutex.
+// learnLimit records the limit that an endpoint names, and reports whether to announce it to other daemons; the caller
+// holds the mutex.
 func (srv *Server) learnLimit(now time.Time, id string, lim dispatch.RateLimit, source string) (share bool) {
 	if !srv.Throttle.Learn(id, lim) {
 		return false
@@ -49,7 +49,7 @@
 	}
 }
 
-// NoteLimit records an endpoint's limit that another daemon knows, and reports whether other daemons should be told.
+// NoteLimit records an endpoint's limit that another daemon knows, and reports whether to announce it to others.
 func (srv *Server) NoteLimit(lim *exchange.EndpointLimit) bool {
 	now := srv.Now()
 	srv.mutex.Lock()
