--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// capacityPoll is the interval at which a waiting stream checks whether an engine has free capacity.
+	// capacityPoll is the interval at which a waiting request checks whether an endpoint is free.
 	capacityPoll = 20 * time.Millisecond
-	// waitShare is the time for which a stream waits for free capacity, as a fraction of its target. Then it is refused
+	// waitShare is the time for which a request waits for a free endpoint, as a fraction of its target. Then it is refused
 	// with a Retry-After, early enough that a retry can still be on time.
 	waitShare = 0.11
 	// retryAfterShare is the Retry-After of a refused stream as a fraction of its target.
