--- a/review/_cases/cases.go
+++ b/review/_cases/cases.go
@@ -72,7 +72,7 @@
 	return fmt.Sprintf("%s,%08x:540", systemPart, 0x10000000+i)
 }
 
-// caseRefused: one engine in three fails one request in 50 with status 500; with trouble, these answers are cut short.
+// caseRefused: one engine in eight fails one request in 50 with status 500; with trouble, these answers are cut short.
 func caseRefused(sit *site, trouble bool) (bool, error) {
 	const every = 50
 	sound := streams(fewEvents, eventPause)
@@ -90,7 +90,7 @@
 		cal.head(http.StatusInternalServerError, "text/plain", fmt.Sprintf("Content-Length: %d\r\n", len(text)))
 		cal.write("%s", text[:len(text)/2])
 	}
-	if _, err := sit.addPool(faulty, sound, sound); err != nil {
+	if _, err := sit.addPool(faulty, sound, sound, sound, sound, sound, sound, sound); err != nil {
 		return false, err
 	}
 	if err := sit.startGateways(gateways); err != nil {
@@ -98,7 +98,7 @@
 	}
 	var all []*attempt
 	for range 2 {
-		all = append(all, sit.sendAll(220, 42, 10*time.Second, func(i int) (string, string) { return "/writeup/1f", soundPrefix(i) })...)
+		all = append(all, sit.sendAll(440, 84, 10*time.Second, func(i int) (string, string) { return "/writeup/1f", soundPrefix(i) })...)
 		time.Sleep(2 * time.Second)
 	}
 	ran := sit.runsByID()
@@ -195,7 +195,8 @@
 	)
 	var leaver atomic.Pointer[engine]
 	serve := func(cal *call) { sit.generate(cal, events, pause, trouble && cal.eng == leaver.Load(), every) }
-	pool, err := sit.addPool(serve, serve, serve)
+	// One engine of six leaves.
+	pool, err := sit.addPool(serve, serve, serve, serve, serve, serve)
 	if err != nil {
 		return false, err
 	}
@@ -211,7 +212,7 @@
 			sit.remove(pool[0].id, "left")
 		})
 	})
-	all := sit.sendAll(69, 38, 39*time.Second, func(i int) (string, string) { return "/writeup/1f", soundPrefix(i) })
+	all := sit.sendAll(165, 76, 39*time.Second, func(i int) (string, string) { return "/writeup/1f", soundPrefix(i) })
 	return sit.endedEarly(all, events), nil
 }
 
