--- a/gateway/hostile_test.go
+++ b/gateway/hostile_test.go
@@ -169,7 +169,8 @@
 type hostileEngine struct {
 	*hostileCase
 	listener net.Listener
-	open     sync.WaitGroup
+	// open counts the connections and the goroutine that accepts them.
+	open sync.WaitGroup
 }
 
 func newHostileEngine(t *testing.T, cse *hostileCase) *hostileEngine {
@@ -179,7 +180,8 @@
 	}
 	t.Cleanup(func() { _ = lis.Close() })
 	eng := &hostileEngine{hostileCase: cse, listener: lis}
-	go func() {
+	// This goroutine is in the group too, so that the counter is not zero while it can still add a connection.
+	eng.open.Go(func() {
 		for {
 			con, err := lis.Accept()
 			if err != nil {
@@ -187,7 +189,7 @@
 			}
 			eng.open.Go(func() { eng.serve(con) })
 		}
-	}()
+	})
 	return eng
 }
 
@@ -214,8 +216,9 @@
 	}
 }
 
-// awaitClosed checks that all connections to the endpoint were closed in time.
+// awaitClosed stops accepting connections and checks that all connections to the endpoint were closed in time.
 func (eng *hostileEngine) awaitClosed(t *testing.T, within time.Duration) {
+	_ = eng.listener.Close()
 	closed := make(chan struct{})
 	go func() {
 		eng.open.Wait()
