Don't refuse a stream as not run after a failure that broke off

Callers saw: a stream that may run once gets 503 with Retry-After although an engine ran it and failed it.

Cause: a stream's 5xx answer was logged and counted by its head. If its body then could not be read, no answer was left to relay, the outcome stayed "answered", and the refusal said "not run" for every outcome but "unknown".

Evidence: one line "request sent" with outcome answered and status 500, then "request refused" with "endpoints refused the request or took no connection"; no engine had stated Not-Executed.

Change: the outcome of such a send is unknown, and its log line has the error. Only the outcomes notRun and unreached leave a request refusable as not run, so an outcome without a case of its own is no promise any more. The same holds for bodies without end, above 4 MiB, or cut by the deadline. A whole failure of the first engine is kept if the second one breaks off.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -49,7 +49,7 @@
 type tries struct {
 	// answer is the last complete answer of an endpoint.
 	answer *plainAnswer
-	// mayHaveRun is true if an endpoint received the request but gave no valid answer.
+	// mayHaveRun is true if an endpoint received the request and did not state that it has not run it.
 	mayHaveRun bool
 	// unreached is the number of endpoints to which no connection was made.
 	unreached int
@@ -127,7 +127,8 @@
 	case outcomeUnreached:
 		trs.unreached++
 		return ctx.Err() == nil && (trs.unreached < maxUnreached || srv.Now().Sub(rqs.begun) < unreachedTime)
-	case outcomeUnknown:
+	case outcomeNotRun:
+	default:
 		trs.mayHaveRun = true
 	}
 	if res != outcomeNotRun && !rqs.route.Repeatable() {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -149,27 +149,29 @@
 	if res == outcomeAnswered {
 		status = one.link.Response.StatusCode
 	}
+	if status >= http.StatusInternalServerError {
+		res, err = one.readFailure(trs)
+	}
 	one.server.logSend(one.request, &cho, res, status, err)
 	if res == outcomeAnswered && status < http.StatusInternalServerError {
 		return false
 	}
-	if res == outcomeAnswered {
-		trs.keep(one.readFailure())
-	}
 	return one.server.shouldRetry(ctx, one.request, trs, res)
 }
 
-// readFailure reads an engine's 5xx answer, which is relayed to the caller if no other engine succeeds.
-func (one *run) readFailure() *plainAnswer {
+// readFailure reads an engine's 5xx answer, which is relayed to the caller if no other engine succeeds. The outcome is
+// unknown if the answer breaks off: there is nothing to relay, but the request has run.
+func (one *run) readFailure(trs *tries) (outcome, error) {
 	res := one.link.Response
 	body, err := one.server.buffers.readAnswer(res)
 	one.detach()
 	one.link = nil
 	if err != nil {
 		one.server.noteLimit(err)
-		return nil
+		return outcomeUnknown, err
 	}
-	return &plainAnswer{response: res, body: body}
+	trs.keep(&plainAnswer{response: res, body: body})
+	return outcomeAnswered, nil
 }
 
 func (one *run) awaitEngine(ctx context.Context) dispatch.Choice {
--- a/standin/siteengine.go
+++ b/standin/siteengine.go
@@ -22,6 +22,8 @@
 	EngineRefuses EngineMode = "sheds"
 	// EngineFails runs each request and answers with status 500.
 	EngineFails EngineMode = "fails"
+	// EngineFailsShort does so and closes the connection in the middle of the response.
+	EngineFailsShort EngineMode = "failsShort"
 	// EngineCuts runs each request and closes the connection in the middle of the response.
 	EngineCuts EngineMode = "cuts"
 	// EngineHangs runs each request and never answers.
@@ -320,6 +322,14 @@
 		_, _ = fmt.Fprintln(wri, "failed")
 		return
 	}
+	if mode == EngineFailsShort {
+		const text = "out of memory while generating"
+		hdr.Set("Content-Length", strconv.Itoa(len(text)))
+		wri.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(wri, text[:len(text)/2])
+		_ = http.NewResponseController(wri).Flush()
+		panic(http.ErrAbortHandler)
+	}
 	if events, err := strconv.Atoi(req.URL.Query().Get("events")); err == nil {
 		sen.stream(wri, req, run, mode, from, events)
 		return
