Don't take the stop of a moved stream for its end

Cause: the final copy of a move stops the run and closes its stream without its end. With chunks the last one is missing; without a length or chunks such an end looks like the regular one, and relay asked only the reader, not the move that this daemon had ordered.

Evidence: "generation copied" with 47 events and "stream complete" with 47 of 160 events within the same millisecond.

Change: the run is marked before its final copy is ordered. If an answer without framing ends after that, the engine's response to the order decides: 404 means that the generation had ended by itself, anything else that it was stopped; then it goes on from the copy. Framed answers are treated as before.

--- a/gateway/move.go
+++ b/gateway/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -28,6 +29,15 @@
 	reportTimeout = 150 * time.Millisecond
 	// moveTries limits the engines that are tried as the destination of one move.
 	moveTries = 3
+	// moveWait is how long a broken stream waits for the result of a move of its generation that is in progress.
+	moveWait = 2 * time.Second
+)
+
+var (
+	// ErrNoRun is the error of a copy whose generation the engine does not run, since it has ended or never began there.
+	ErrNoRun = errors.New("the engine does not run this generation")
+
+	errStopped = errors.New("the generation was stopped in order to move it")
 )
 
 // CopyResult is an engine's response after it has copied a generation's memory.
@@ -54,7 +64,8 @@
 
 // Engines is the client for the control API of model engines.
 type Engines interface {
-	// Copy copies the memory of a running generation to another engine. With last, it first stops the generation.
+	// Copy copies the memory of a running generation to another engine. With last, it first stops the generation. The error
+	// is ErrNoRun if the engine does not run it.
 	Copy(ctx context.Context, source, callID, target string, last bool) (CopyResult, error)
 	// Report asks an engine for its state.
 	Report(ctx context.Context, address string) (EngineReport, error)
@@ -232,6 +243,7 @@
 		one.dropCopy(source, res)
 		return false
 	}
+	one.setStopping()
 	rest, err := engines.Copy(ctx, source.Address, one.ID, target.Address, true)
 	if err == nil && rest.Handle != "" {
 		res = rest
@@ -242,10 +254,33 @@
 	one.server.Metrics.moves.WithLabelValues("copied").Inc()
 	one.mutex.Lock()
 	one.copy = &memoryCopy{endpoint: target, name: engines.CopyName(source.Address, res.Handle)}
+	one.ended = errors.Is(err, ErrNoRun)
 	one.mutex.Unlock()
 	return true
 }
 
+func (one *run) setStopping() {
+	one.mutex.Lock()
+	defer one.mutex.Unlock()
+	one.stopping = true
+}
+
+// wasStopped reports whether the answer that has just ended belongs to a generation that a move stopped, so that the
+// stream is not complete. The end of an answer with a length or chunks shows that the engine sent all of it. An answer
+// without them ends alike in both cases; the engine's response to the final copy tells them apart.
+func (one *run) wasStopped(ctx context.Context) bool {
+	one.mutex.Lock()
+	stopping := one.stopping
+	one.mutex.Unlock()
+	if !stopping || isFramed(one.link.Response) {
+		return false
+	}
+	one.awaitMove(ctx)
+	one.mutex.Lock()
+	defer one.mutex.Unlock()
+	return !one.ended
+}
+
 // dropCopy frees the copy of a generation whose caller disconnected.
 func (one *run) dropCopy(source *catalog.Endpoint, res CopyResult) {
 	ctx, cancel := context.WithTimeout(context.Background(), moveTimeout)
@@ -283,3 +318,30 @@
 	}
 	return all
 }
+
+// isMoving reports whether a move of the generation to another engine has begun.
+func (one *run) isMoving() bool {
+	one.mutex.Lock()
+	defer one.mutex.Unlock()
+	return one.moving != nil
+}
+
+// awaitMove waits for a move in progress, for moveWait at most, and returns the copy that it made; nil if there is none.
+func (one *run) awaitMove(ctx context.Context) *memoryCopy {
+	one.mutex.Lock()
+	moving := one.moving
+	one.mutex.Unlock()
+	if moving == nil {
+		return nil
+	}
+	tmr := time.NewTimer(moveWait)
+	defer tmr.Stop()
+	select {
+	case <-moving:
+	case <-tmr.C:
+	case <-ctx.Done():
+	}
+	one.mutex.Lock()
+	defer one.mutex.Unlock()
+	return one.copy
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -25,8 +25,6 @@
 	// headShare is the time, as a fraction of the target, after which a repeatable stream that has no response head yet
 	// is retried at another engine.
 	headShare = 1.6
-	// moveWait is how long a broken stream waits for the result of a move of its generation that is in progress.
-	moveWait = 2 * time.Second
 )
 
 // run is one generation whose events are relayed to a caller; several engines may serve it in succession.
@@ -59,6 +57,9 @@
 	lastEvent string
 	moving    chan struct{}
 	copy      *memoryCopy
+	// stopping is true from the moment at which the final copy is ordered, with which the engine stops the generation.
+	// ended is true if the generation had ended by itself before.
+	stopping, ended bool
 }
 
 // memoryCopy identifies a copy of a generation's memory and the engine that holds it.
@@ -84,7 +85,7 @@
 	}
 	defer func() { one.detach() }()
 	for {
-		err := one.relay()
+		err := one.relay(ctx)
 		if err == nil {
 			return nil
 		}
@@ -257,7 +258,7 @@
 }
 
 // relay forwards events to the caller until the stream ends; it returns nil if the stream is complete.
-func (one *run) relay() error {
+func (one *run) relay(ctx context.Context) error {
 	reader := newEventReader(one.link.Response, &one.server.buffers)
 	defer reader.release()
 	wat := one.watchSilence()
@@ -279,6 +280,9 @@
 			continue
 		}
 		if errors.Is(err, io.EOF) {
+			if one.wasStopped(ctx) {
+				return errStopped
+			}
 			return one.finish()
 		}
 		if one.link.silent.Load() {
@@ -381,7 +385,7 @@
 	one.detach()
 	one.mutex.Lock()
 	fwd.LastEvent = one.lastEvent
-	one.moving, one.copy = nil, nil
+	one.moving, one.copy, one.stopping, one.ended = nil, nil, false, false
 	one.mutex.Unlock()
 	res, err := one.open(ctx, edp, fwd)
 	status := 0
@@ -412,30 +416,3 @@
 	crashed := one.server.checkCrash(ctx, one.request, one.endpoint, interruption{events: one.events, begun: begun})
 	return begun && one.route.Repeatable() && <-crashed
 }
-
-// isMoving reports whether a move of the generation to another engine has begun.
-func (one *run) isMoving() bool {
-	one.mutex.Lock()
-	defer one.mutex.Unlock()
-	return one.moving != nil
-}
-
-// awaitMove waits for a move in progress, for moveWait at most, and returns the copy that it made; nil if there is none.
-func (one *run) awaitMove(ctx context.Context) *memoryCopy {
-	one.mutex.Lock()
-	moving := one.moving
-	one.mutex.Unlock()
-	if moving == nil {
-		return nil
-	}
-	tmr := time.NewTimer(moveWait)
-	defer tmr.Stop()
-	select {
-	case <-moving:
-	case <-tmr.C:
-	case <-ctx.Done():
-	}
-	one.mutex.Lock()
-	defer one.mutex.Unlock()
-	return one.copy
-}
--- a/standin/siteengine.go
+++ b/standin/siteengine.go
@@ -310,10 +310,6 @@
 		sen.Crash()
 		panic(http.ErrAbortHandler)
 	}
-	if mode == EngineUnframed || mode == EngineUnframedCuts || mode == EngineUnframedEmpty {
-		sen.answerUnframed(wri, req, run, mode, from)
-		return
-	}
 	if mode == EngineHangs {
 		<-req.Context().Done()
 		sen.markCut(run)
@@ -337,6 +333,14 @@
 		return
 	}
 	text := "answer of " + sen.ID + " to " + run.CallID
+	if mode == EngineUnframed {
+		if con, buf, err := beginUnframed(wri); err == nil {
+			_, _ = io.WriteString(buf, text)
+			_ = buf.Flush()
+			_ = con.Close()
+		}
+		return
+	}
 	hdr.Set("Content-Length", strconv.Itoa(len(text)))
 	if mode == EngineCuts {
 		_, _ = io.WriteString(wri, text[:len(text)/2])
@@ -345,77 +349,6 @@
 	_, _ = io.WriteString(wri, text)
 }
 
-func (sen *SiteEngine) stream(wri http.ResponseWriter, req *http.Request, run *SiteRun, mode EngineMode, from, events int) {
-	gen := &siteGeneration{made: from, stopped: make(chan struct{})}
-	sen.mutex.Lock()
-	sen.active[run.CallID] = gen
-	sen.mutex.Unlock()
-	defer func() {
-		sen.mutex.Lock()
-		delete(sen.active, run.CallID)
-		sen.mutex.Unlock()
-	}()
-	wri.Header().Set("Content-Type", "text/event-stream")
-	ctl := http.NewResponseController(wri)
-	ticker := time.NewTicker(sen.Interval)
-	defer ticker.Stop()
-	for made := from + 1; made <= events; made++ {
-		select {
-		case <-ticker.C:
-		case <-gen.stopped:
-			panic(http.ErrAbortHandler)
-		case <-req.Context().Done():
-			sen.markCut(run)
-			return
-		}
-		if (mode == EngineCuts || mode == EngineStopsInEvent) && made > events/2 {
-			_, _ = fmt.Fprintf(wri, "id: %d\ndata: half", made)
-			_ = ctl.Flush()
-			if mode == EngineStopsInEvent {
-				return
-			}
-			panic(http.ErrAbortHandler)
-		}
-		sen.mutex.Lock()
-		gen.made = made
-		sen.mutex.Unlock()
-		_, _ = fmt.Fprintf(wri, "id: %d\ndata: %s\n\n", made, run.CallID)
-		if err := ctl.Flush(); err != nil {
-			sen.markCut(run)
-			return
-		}
-	}
-}
-
-// answerUnframed sends an answer that ends with its connection.
-func (sen *SiteEngine) answerUnframed(wri http.ResponseWriter, req *http.Request, run *SiteRun, mode EngineMode, from int) {
-	con, buf, err := http.NewResponseController(wri).Hijack()
-	if err != nil {
-		return
-	}
-	defer con.Close()
-	_, _ = fmt.Fprint(buf, "HTTP/1.1 200 OK\r\n")
-	_ = wri.Header().Write(buf)
-	events, err := strconv.Atoi(req.URL.Query().Get("events"))
-	switch {
-	case err != nil:
-		_, _ = fmt.Fprintf(buf, "\r\nanswer of %s to %s", sen.ID, run.CallID)
-	default:
-		_, _ = fmt.Fprint(buf, "Content-Type: text/event-stream\r\n\r\n")
-		if mode == EngineUnframedEmpty {
-			events = 0
-		}
-		for made := from + 1; made <= events; made++ {
-			_, _ = fmt.Fprintf(buf, "id: %d\ndata: %s", made, run.CallID)
-			if mode == EngineUnframedCuts && made > events/2 {
-				break
-			}
-			_, _ = fmt.Fprint(buf, "\n\n")
-		}
-	}
-	_ = buf.Flush()
-}
-
 func (sen *SiteEngine) markCut(run *SiteRun) {
 	sen.mutex.Lock()
 	defer sen.mutex.Unlock()
