Ignore entries of endpoints that arrive late

Cause: an engine's write that is delayed, by TCP in a cut, is the newest entry in the store when it arrives. The entry's sequence was checked and dropped, so ready after draining, within one incarnation, ended the drain.

Evidence: sequence 5 is accepted at 11.0 s, after 9 (draining), and 12 at 12.0 s; all late requests lie between.

Change: catalog.Endpoint has the sequence. An entry that was written before what is known of its endpoint is ignored; the mark of a leaving endpoint keeps the number of the entry that said so, or of the last one before the removal.

--- a/catalog/fleet.go
+++ b/catalog/fleet.go
@@ -25,21 +25,47 @@
 	// StartedAt is the time at which this incarnation started, in Unix milliseconds. It identifies the incarnation: after
 	// a restart under the same id it is greater.
 	StartedAt int64
+	// Sequence numbers the entries that the incarnation wrote; they may reach the store in another order.
+	Sequence int64
 	// WarmAt is the time from which the endpoint has its full speed; it is slow until then, after a start.
 	WarmAt time.Time
 }
 
-// SameAs reports whether two entries are equal apart from WarmAt.
+// SameAs reports whether two entries are equal apart from Sequence and WarmAt.
 func (edp *Endpoint) SameAs(other *Endpoint) bool {
 	one, two := *edp, *other
+	one.Sequence, two.Sequence = 0, 0
 	one.WarmAt, two.WarmAt = time.Time{}, time.Time{}
 	return one == two
 }
 
+// IsOlderThan reports whether the entry was written before another one of the same endpoint. Entries of one incarnation are
+// ordered by their numbers; without the start of an incarnation, the numbers of a restarted endpoint can't be recognised.
+func (edp *Endpoint) IsOlderThan(other *Endpoint) bool {
+	if edp.StartedAt != other.StartedAt {
+		return edp.StartedAt < other.StartedAt
+	}
+	return edp.StartedAt > 0 && edp.Sequence < other.Sequence
+}
+
 // LeavingMark records that one incarnation of an endpoint is leaving, and since when this daemon has known.
 type LeavingMark struct {
 	At        time.Time
 	StartedAt int64
+	// Sequence is the number of the last entry that said so, or of the last one before the entry was removed; noSequence
+	// if the mark follows from no entry.
+	Sequence int64
+}
+
+// noSequence is lower than the number of any entry.
+const noSequence = -1
+
+// IsCancelledBy reports whether an entry that says that the endpoint is ready was written after the mark's reason.
+func (mrk LeavingMark) IsCancelledBy(edp *Endpoint) bool {
+	if edp.StartedAt != mrk.StartedAt {
+		return edp.StartedAt > mrk.StartedAt
+	}
+	return edp.StartedAt == 0 || edp.Sequence > mrk.Sequence
 }
 
 // outageGrace is the time that endpoints have to register again after an outage of the store. Until then the daemon
@@ -73,20 +99,20 @@
 	flt.graceUntil = now.Add(outageGrace)
 }
 
-// Put applies the newest entry of an endpoint; it ignores entries of earlier incarnations.
+// Put applies an entry of an endpoint; it ignores late ones, as FleetView.IsLate defines them.
 func (flt *Fleet) Put(now time.Time, edp Endpoint) {
-	old, known := flt.Endpoints[edp.ID]
-	if known && edp.StartedAt < old.StartedAt {
+	if (FleetView{Endpoints: flt.Endpoints, Leaving: flt.Leaving}).IsLate(&edp) {
 		return
 	}
+	old, known := flt.Endpoints[edp.ID]
 	delete(flt.pendingRemovals, edp.ID)
+	flt.Endpoints[edp.ID] = edp
 	if !edp.SameAs(&old) || now.Before(edp.WarmAt) || now.Before(old.WarmAt) {
-		flt.Endpoints[edp.ID] = edp
 		flt.changes++
 	}
 	switch {
 	case edp.State == StateDraining:
-		flt.recordLeaving(now, edp.ID, edp.StartedAt)
+		flt.recordLeaving(now, edp.ID, edp.StartedAt, edp.Sequence)
 	case !known || edp.StartedAt > old.StartedAt || old.State == StateDraining:
 		delete(flt.Leaving, edp.ID)
 		flt.changes++
@@ -129,7 +155,7 @@
 	if _, known := flt.Leaving[id]; known || flt.Endpoints[id].StartedAt > bornAt {
 		return false
 	}
-	flt.recordLeaving(now, id, bornAt)
+	flt.recordLeaving(now, id, bornAt, noSequence)
 	return true
 }
 
@@ -155,21 +181,28 @@
 // duration of any drain.
 const leavingRetention = time.Minute
 
-// recordLeaving marks an endpoint as leaving unless it has a mark for the same or a later incarnation.
-func (flt *Fleet) recordLeaving(now time.Time, id string, bornAt int64) {
-	if mrk, known := flt.Leaving[id]; !known || mrk.StartedAt < bornAt {
-		flt.Leaving[id] = LeavingMark{At: now, StartedAt: bornAt}
+// recordLeaving marks an endpoint as leaving. A mark for the same incarnation keeps its time, one for a later incarnation
+// is kept as it is.
+func (flt *Fleet) recordLeaving(now time.Time, id string, bornAt, sequence int64) {
+	mrk, known := flt.Leaving[id]
+	switch {
+	case !known || mrk.StartedAt < bornAt:
+		flt.Leaving[id] = LeavingMark{At: now, StartedAt: bornAt, Sequence: sequence}
 		flt.changes++
+	case mrk.StartedAt == bornAt && mrk.Sequence < sequence:
+		// This is no change for readers of the view: a draining endpoint rewrites its entry all the time.
+		mrk.Sequence = sequence
+		flt.Leaving[id] = mrk
 	}
 }
 
 // drop removes the entry of an endpoint and marks the endpoint as leaving.
 func (flt *Fleet) drop(now time.Time, id string) {
-	bornAt := flt.Endpoints[id].StartedAt
+	edp := flt.Endpoints[id]
 	delete(flt.pendingRemovals, id)
 	delete(flt.Endpoints, id)
 	flt.changes++
-	flt.recordLeaving(now, id, bornAt)
+	flt.recordLeaving(now, id, edp.StartedAt, edp.Sequence)
 }
 
 // View returns a copy that later changes to the fleet don't affect; without a change it is the last one.
@@ -188,6 +221,17 @@
 	Leaving   map[string]LeavingMark
 }
 
+// IsLate reports whether an entry was written before what is known of the endpoint: before its present entry, or before the
+// entry that said that it drains or the last one before its removal. A write that was delayed on its way to the store is
+// the newest one there all the same.
+func (vew FleetView) IsLate(edp *Endpoint) bool {
+	if old, known := vew.Endpoints[edp.ID]; known && edp.IsOlderThan(&old) {
+		return true
+	}
+	mrk, leaving := vew.Leaving[edp.ID]
+	return leaving && edp.State == StateReady && !mrk.IsCancelledBy(edp)
+}
+
 // HasNeighbour reports whether another endpoint of the same service and failure domain accepts new requests.
 func (vew FleetView) HasNeighbour(edp *Endpoint) bool {
 	for id, one := range vew.Endpoints {
--- a/catalog/fleet_test.go
+++ b/catalog/fleet_test.go
@@ -18,6 +18,7 @@
 	Replace     []string
 	State       State
 	Born        int64
+	Sequence    int64
 	Outage      bool
 }
 
@@ -67,7 +68,7 @@
 	}
 	switch {
 	case stp.Put != "":
-		flt.Put(now, Endpoint{ID: stp.Put, State: state, StartedAt: stp.Born})
+		flt.Put(now, Endpoint{ID: stp.Put, State: state, StartedAt: stp.Born, Sequence: stp.Sequence})
 	case stp.Remove != "":
 		flt.Remove(now, stp.Remove)
 	case stp.Mark != "":
@@ -77,7 +78,7 @@
 	case stp.Replace != nil:
 		var all []Endpoint
 		for _, id := range stp.Replace {
-			all = append(all, Endpoint{ID: id, State: StateReady})
+			all = append(all, Endpoint{ID: id, State: StateReady, StartedAt: stp.Born, Sequence: stp.Sequence})
 		}
 		flt.Replace(now, all)
 	}
--- a/control/control.go
+++ b/control/control.go
@@ -206,7 +206,7 @@
 // EndpointUpdate is the input for entries of endpoints in the store.
 type EndpointUpdate struct {
 	Endpoints []catalog.Endpoint
-	// Removed are the ids of the endpoints whose entries were removed.
+	// Removed are the ids of the endpoints whose entries were removed; those that are in Endpoints too were written again.
 	Removed []string
 	// Whole is true if Endpoints is the complete list, so that endpoints that are missing in it were removed.
 	Whole bool
@@ -218,12 +218,12 @@
 		ctl.fleet.Replace(now, upd.Endpoints)
 		return
 	}
-	for _, edp := range upd.Endpoints {
-		ctl.fleet.Put(now, edp)
-	}
 	for _, id := range upd.Removed {
 		ctl.fleet.Remove(now, id)
 	}
+	for _, edp := range upd.Endpoints {
+		ctl.fleet.Put(now, edp)
+	}
 }
 
 // StoreRead is the input for the result of a read of the store.
--- a/gateway/scenario_start_test.go
+++ b/gateway/scenario_start_test.go
@@ -47,9 +47,15 @@
 func (sit *site) beat(id, state string) {
 	edp := sit.engines[id]
 	edp.beats++
+	sit.write(id, state, edp.beats)
+}
+
+// write writes an endpoint's entry with a number.
+func (sit *site) write(id, state string, sequence int) {
+	edp := sit.engines[id]
 	entry, err := json.Marshal(map[string]any{
 		"service": edp.service, "address": edp.server.Listener.Addr().String(), "zone": edp.domain, "slots": 8, "state": state,
-		"sequence": edp.beats, "born": edp.born, "coldLeftMs": 0,
+		"sequence": sequence, "born": edp.born, "coldLeftMs": 0,
 	})
 	if err != nil {
 		sit.fatalf("%v", err)
--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -224,6 +224,8 @@
 		sit.store.Put("keyed.servers", args[1], nil)
 	case "beat": // beat ENGINE: writes its entry again with the state ready
 		sit.beat(args[1], "ready")
+	case "late": // late ENGINE SEQUENCE: its write with this number, of the state ready, reaches the store only now
+		sit.write(args[1], "ready", sit.number(args[2]))
 	case "leaves": // leaves ENGINE: the engine's report says from now on that it leaves
 		sit.engines[args[1]].SetDraining()
 	case "full": // full ENGINE: it refuses copies from now on
