--- a/gateway/scenario_start_test.go
+++ b/gateway/scenario_start_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -63,6 +64,38 @@
 	sit.store.Put("keyed.servers", id, entry)
 }
 
+// writeOdd writes an entry of an id as no endpoint writes it: nested deeply, with a number too large for any field, with a port
+// out of range, with more slots than any endpoint has, with a start far in the future, or with a key that is not valid UTF-8.
+func (sit *site) writeOdd(id, form string) {
+	fields := map[string]string{
+		"service": `"desk"`, "address": `"127.0.0.1:9"`, "zone": `"a"`, "slots": "8", "state": `"ready"`, "sequence": "1", "born": "1000",
+	}
+	switch form {
+	case "deep":
+		fields["more"] = strings.Repeat("[", oddDepth) + strings.Repeat("]", oddDepth)
+	case "number":
+		fields["sequence"] = "1e999"
+	case "port":
+		fields["address"] = `"127.0.0.1:65536"`
+	case "slots":
+		fields["slots"] = "1000000000000000000"
+	case "born":
+		fields["born"] = "9000000000000000000"
+	case "key":
+		id += "\xff"
+	default:
+		sit.fatalf("%q is no form of an entry", form)
+	}
+	var parts []string
+	for name, value := range fields {
+		parts = append(parts, fmt.Sprintf("%q:%s", name, value))
+	}
+	sit.store.Put("keyed.servers", id, []byte("{"+strings.Join(parts, ",")+"}"))
+}
+
+// oddDepth is the depth of a deeply nested entry; the record stays below the 256 KB that the store takes.
+const oddDepth = 100_000
+
 // configuration returns a configuration with two services and a route for each kind of request.
 func configuration(version string, changes []string) []byte {
 	without := map[string]bool{}
--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -164,6 +164,8 @@
 		sit.store.Put("keyed.op", "config", sit.published)
 	case "garbage": // garbage TOPIC KEY: writes a record that can't be parsed
 		sit.store.Put(args[1], args[2], []byte(`{"service":7`))
+	case "odd": // odd ID FORM: another writer writes an entry with this id: deep, number, port, slots, born or key
+		sit.writeOdd(args[1], args[2])
 	case "compact": // compact TOPIC: deletes the topic's records except the newest of each key
 		sit.store.Compact(args[1])
 	case "store": // store MODE: sets the fault mode of the store; up means none
