Don't take an endpoint's refusal of another request for one of this request

Cause: Not-Executed and 421 were read before the answer's request id, which was checked for all other answers only. On a related path, a signed 503, 429 or 408 without Not-Executed was relayed, which callers take for a promise that the engine has not made.

Change: a refusal that names another request, and a status of refusal that is not stated, count as a lost answer.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -195,7 +195,7 @@
 	}
 	defer lnk.Close()
 	ans := srv.Wire.ParseAnswer(lnk.Response)
-	if ans.NotRun {
+	if rqs.hasNotRun(ans) {
 		srv.noteAnswer(edp.ID, ans, false)
 		return nil, outcomeNotRun, nil
 	}
@@ -219,15 +219,29 @@
 	errUnsigned    = errors.New("the answer is not signed")
 	errOtherCall   = errors.New("the answer belongs to another request")
 	errEncodedBody = errors.New("the answer's body is encoded")
+	errUnstated    = errors.New("the answer has the status of a refusal, but does not state that the request has not run")
 )
 
-// checkAnswer returns an error if an answer must not be relayed to the caller.
+// hasNotRun reports whether an answer states that this request has not run. A refusal of another request says nothing of it:
+// an endpoint may write an earlier one once more.
+func (rqs *request) hasNotRun(ans Answer) bool {
+	return ans.NotRun && !rqs.isForeign(ans)
+}
+
+// isForeign reports whether an answer names another request.
+func (rqs *request) isForeign(ans Answer) bool {
+	return ans.CallID != "" && ans.CallID != rqs.ID
+}
+
+// checkAnswer returns an error if an answer to a request that may have run must not be relayed to the caller.
 func checkAnswer(rqs *request, ans Answer) error {
 	switch {
+	case rqs.isForeign(ans):
+		return errOtherCall
 	case !ans.Signed:
 		return errUnsigned
-	case ans.CallID != "" && ans.CallID != rqs.ID:
-		return errOtherCall
+	case ans.Refuses:
+		return errUnstated
 	case ans.Encoded:
 		return errEncodedBody
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -212,7 +212,7 @@
 	rqs.sends++
 	ans := srv.Wire.ParseAnswer(lnk.Response)
 	srv.noteAnswer(edp.ID, ans, !ans.NotRun && lnk.Response.StatusCode < 500)
-	if ans.NotRun {
+	if rqs.hasNotRun(ans) {
 		srv.end(flt)
 		lnk.Close()
 		return outcomeNotRun, nil
--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -55,8 +55,10 @@
 
 // Answer is the information in the headers of an endpoint's answer.
 type Answer struct {
-	// NotRun is true if the endpoint states that it did not run the request.
+	// NotRun is true if the endpoint states that it did not run a request: the one with CallID.
 	NotRun bool
+	// Refuses is true if the status tells a caller that the request has not run, whether the endpoint states that or not.
+	Refuses bool
 	// Misdirected is true if the endpoint that answered is not the intended one.
 	Misdirected bool
 	// Signed is true if the answer bears the endpoint's signature.
--- a/standin/siteengine.go
+++ b/standin/siteengine.go
@@ -20,6 +20,10 @@
 	EngineServes EngineMode = ""
 	// EngineRefuses refuses each request with status 503 and the header Not-Executed.
 	EngineRefuses EngineMode = "sheds"
+	// EngineRepeatsRefusal runs each request and answers with an earlier refusal, which has the id of another request.
+	EngineRepeatsRefusal EngineMode = "repeatsRefusal"
+	// EngineUnstatedRefusal runs each request and answers with status 503, but without the header Not-Executed.
+	EngineUnstatedRefusal EngineMode = "unstatedRefusal"
 	// EngineFails runs each request and answers with status 500.
 	EngineFails EngineMode = "fails"
 	// EngineFailsShort does so and closes the connection in the middle of the response.
@@ -315,19 +319,9 @@
 		sen.markCut(run)
 		return
 	}
-	if mode == EngineFails {
-		wri.WriteHeader(http.StatusInternalServerError)
-		_, _ = fmt.Fprintln(wri, "failed")
+	if answerFailure(wri, mode) {
 		return
 	}
-	if mode == EngineFailsShort {
-		const text = "out of memory while generating"
-		hdr.Set("Content-Length", strconv.Itoa(len(text)))
-		wri.WriteHeader(http.StatusInternalServerError)
-		_, _ = io.WriteString(wri, text[:len(text)/2])
-		_ = http.NewResponseController(wri).Flush()
-		panic(http.ErrAbortHandler)
-	}
 	if events, err := strconv.Atoi(req.URL.Query().Get("events")); err == nil {
 		sen.stream(wri, req, run, mode, from, events)
 		return
@@ -349,6 +343,32 @@
 	_, _ = io.WriteString(wri, text)
 }
 
+// answerFailure answers a request that was run with a failure or a refusal; it returns false for modes without one.
+func answerFailure(wri http.ResponseWriter, mode EngineMode) bool {
+	hdr := wri.Header()
+	switch mode {
+	case EngineRepeatsRefusal:
+		hdr.Set("Attempt-Id", "another")
+		hdr.Set("Not-Executed", "1")
+		wri.WriteHeader(http.StatusServiceUnavailable)
+	case EngineUnstatedRefusal:
+		wri.WriteHeader(http.StatusServiceUnavailable)
+	case EngineFails:
+		wri.WriteHeader(http.StatusInternalServerError)
+		_, _ = fmt.Fprintln(wri, "failed")
+	case EngineFailsShort:
+		const text = "out of memory while generating"
+		hdr.Set("Content-Length", strconv.Itoa(len(text)))
+		wri.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(wri, text[:len(text)/2])
+		_ = http.NewResponseController(wri).Flush()
+		panic(http.ErrAbortHandler)
+	default:
+		return false
+	}
+	return true
+}
+
 func (sen *SiteEngine) markCut(run *SiteRun) {
 	sen.mutex.Lock()
 	defer sen.mutex.Unlock()
