Let streams and their continuations hold events only

Can it happen here: not with an error status, a refusal or another request's answer of the next engine, nor after a move. It can if the next engine answers 200 with a text, and if an engine breaks off a stream without a length or chunks and sends an error on that connection; both reached the caller, with a regular end.

Cause: a continuation was checked for status 200 only, and the relay passes on what blank lines separate; the head of a response ends with a blank line too.

Change: a continuation has the media type of the stream, and a block of an event stream without any line in the form of a field, or with a line that begins with HTTP/, ends the stream visibly.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -41,7 +41,7 @@
 }
 
 func newEventReader(res *http.Response, pool *bufferPool) *eventReader {
-	return &eventReader{body: res.Body, framed: isFramed(res), media: mediaType(res), buffer: buffer{pool: pool}, chunk: make([]byte, readBufferBytes)}
+	return &eventReader{body: res.Body, framed: isFramed(res), media: mediaType(res.Header), buffer: buffer{pool: pool}, chunk: make([]byte, readBufferBytes)}
 }
 
 // isFramed reports whether an answer has a content length or is chunked; otherwise it ends with its connection.
@@ -49,9 +49,9 @@
 	return res.ContentLength >= 0 || len(res.TransferEncoding) > 0
 }
 
-// mediaType returns the media type of an answer without parameters; empty if the header is missing or invalid.
-func mediaType(res *http.Response) string {
-	media, _, err := mime.ParseMediaType(res.Header.Get("Content-Type"))
+// mediaType returns the media type in the headers of an answer without parameters; empty if it is missing or invalid.
+func mediaType(hdr http.Header) string {
+	media, _, err := mime.ParseMediaType(hdr.Get("Content-Type"))
 	if err != nil {
 		return ""
 	}
@@ -69,7 +69,7 @@
 func (evr *eventReader) next() ([]byte, error) {
 	for {
 		if end := evr.eventsEnd(); end > 0 {
-			return evr.cut(end)
+			return evr.cutEvents(end)
 		}
 		if len(evr.buffer.data) > maxEventBytes {
 			return nil, errEventTooLong
@@ -83,7 +83,7 @@
 			continue
 		}
 		if end := evr.eventsEnd(); end > 0 {
-			return evr.cut(end)
+			return evr.cutEvents(end)
 		}
 		switch {
 		case !errors.Is(err, io.EOF):
@@ -122,6 +122,58 @@
 	return false
 }
 
+// cutEvents removes complete events from the buffer and returns them. It returns an error if the first of them is none.
+func (evr *eventReader) cutEvents(end int) ([]byte, error) {
+	if evr.media == eventMedia {
+		if end = lengthOfEvents(evr.buffer.data[:end]); end == 0 {
+			return nil, errNotEvents
+		}
+	}
+	return evr.cut(end)
+}
+
+// lengthOfEvents returns the length of the data before the first block that is no event. An endpoint that breaks off a stream
+// may send other bytes on its connection, such as an error's head and text.
+func lengthOfEvents(data []byte) int {
+	length, at := 0, 0
+	isEvent, isEmpty := false, true
+	for at < len(data) {
+		line, size := cutLine(data[at:])
+		at += size
+		switch {
+		case bytes.HasPrefix(line, []byte("HTTP/")):
+			return length
+		case len(line) > 0:
+			isEmpty, isEvent = false, isEvent || isField(line)
+		case !isEvent && !isEmpty:
+			return length
+		default:
+			length, isEvent, isEmpty = at, false, true
+		}
+	}
+	return length
+}
+
+// cutLine returns the first line of data and its size with the line's end.
+func cutLine(data []byte) (line []byte, size int) {
+	end := bytes.IndexAny(data, "\r\n")
+	switch {
+	case end < 0:
+		return data, len(data)
+	case bytes.HasPrefix(data[end:], []byte("\r\n")):
+		return data[:end], end + 2
+	}
+	return data[:end], end + 1
+}
+
+// isField reports whether a line of a stream is a comment or has the form of a field.
+func isField(line []byte) bool {
+	name, _, _ := bytes.Cut(bytes.TrimPrefix(line, []byte("\ufeff")), []byte(":"))
+	return !bytes.ContainsFunc(name, func(char rune) bool {
+		return (char < 'a' || char > 'z') && (char < 'A' || char > 'Z') && (char < '0' || char > '9') && char != '-' && char != '_'
+	})
+}
+
 // cut removes complete events from the buffer and returns them.
 func (evr *eventReader) cut(end int) ([]byte, error) {
 	events, rest := evr.buffer.data[:end:end], evr.buffer.data[end:]
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -16,6 +16,7 @@
 type eventsCase struct {
 	Name, Guards, Media, Body string
 	Framed, Broken            bool
+	NoEvents                  bool `yaml:"noEvents"`
 	Want                      []string
 }
 
@@ -61,6 +62,8 @@
 			want := io.EOF
 			if cse.Broken {
 				want = io.ErrUnexpectedEOF
+			} else if cse.NoEvents {
+				want = errNotEvents
 			}
 			got, err := readEvents(newAnswer(cse.Media, cse.Framed, strings.NewReader(cse.Body)))
 			if !slices.Equal(got, cse.Want) || !errors.Is(err, want) {
--- a/gateway/scenario_call_test.go
+++ b/gateway/scenario_call_test.go
@@ -12,11 +12,13 @@
 )
 
 type siteCall struct {
-	id         string
-	mutex      sync.Mutex
-	status     int
-	body       string
-	events     []int
+	id     string
+	mutex  sync.Mutex
+	status int
+	body   string
+	events []int
+	// foreign are the lines of a stream that are no part of the events that the engines of a site make.
+	foreign    []string
 	complete   bool
 	err        error
 	retryAfter string
@@ -75,6 +77,8 @@
 			cal.mutex.Lock()
 			cal.events = append(cal.events, event)
 			cal.mutex.Unlock()
+		} else if line := scn.Text(); line != "" && !strings.HasPrefix(line, "data: ") {
+			cal.foreign = append(cal.foreign, line)
 		}
 	}
 	cal.err = scn.Err()
--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -323,10 +323,13 @@
 		if got, want := len(cal.events), sit.number(args[2]); got != want || !cal.complete {
 			sit.fatalf("got %d events, complete %t (%v), want %d and complete", got, cal.complete, cal.err, want)
 		}
+		sit.checkForeign(cal)
 	case "broken": // broken CALL: the caller can detect that the answer is incomplete
-		if cal := sit.finished(args[1]); cal.complete {
+		cal := sit.finished(args[1])
+		if cal.complete {
 			sit.fatalf("got a complete answer of status %d, want a broken one", cal.status)
 		}
+		sit.checkForeign(cal)
 	case "retryable": // retryable CALL: the answer has a Retry-After
 		if cal := sit.finished(args[1]); cal.retryAfter == "" {
 			sit.fatalf("got no Retry-After, want one")
@@ -337,6 +340,13 @@
 	return true
 }
 
+// checkForeign checks that a stream has nothing but events.
+func (sit *site) checkForeign(cal *siteCall) {
+	if len(cal.foreign) > 0 {
+		sit.fatalf("got lines %q in the stream, want events only", cal.foreign)
+	}
+}
+
 // checkRuns runs commands that check which requests endpoints ran; it returns false for other commands.
 func (sit *site) checkRuns(args []string) bool {
 	switch args[0] {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -266,7 +266,7 @@
 	for {
 		before := one.events
 		events, err := reader.next()
-		if one.server.noteLimit(err) {
+		if one.server.noteLimit(err) || errors.Is(err, errNotEvents) {
 			one.server.noteFailure(one.endpoint.ID)
 		}
 		if len(events) > 0 {
@@ -400,12 +400,18 @@
 		one.endpoint, one.link = nil, nil
 		return res
 	}
-	if status != http.StatusOK {
+	if status != http.StatusOK || !one.isContinuation() {
 		return outcomeUnknown
 	}
 	return outcomeAnswered
 }
 
+// isContinuation reports whether the answer of another engine can follow what the caller has received: an error's text has
+// another media type than the stream.
+func (one *run) isContinuation() bool {
+	return !one.header || mediaType(one.link.Response.Header) == mediaType(one.writer.Header())
+}
+
 // hasCrashed starts the check whether the engine of an interrupted stream has crashed. If the engine had just begun to
 // answer, it waits for the result: another engine would probably crash too.
 func (one *run) hasCrashed(ctx context.Context) bool {
--- a/standin/siteengine.go
+++ b/standin/siteengine.go
@@ -32,6 +32,11 @@
 	EngineCuts EngineMode = "cuts"
 	// EngineStopsInEvent runs each request and ends a stream inside an event, with the regular end of the response.
 	EngineStopsInEvent EngineMode = "stopsInEvent"
+	// EngineErrorInStream runs each request, breaks off a stream that ends with its connection, and sends the head and the
+	// text of an error there.
+	EngineErrorInStream EngineMode = "errorInStream"
+	// EngineAnswersText runs each request and answers with status 200 and a text in place of a stream.
+	EngineAnswersText EngineMode = "answersText"
 	// EngineHangs runs each request and never answers.
 	EngineHangs EngineMode = "hangs"
 	// EngineWrongAttemptID answers with the attempt id of another request.
@@ -353,6 +358,9 @@
 		wri.WriteHeader(http.StatusServiceUnavailable)
 	case EngineUnstatedRefusal:
 		wri.WriteHeader(http.StatusServiceUnavailable)
+	case EngineAnswersText:
+		hdr.Set("Content-Type", "text/plain")
+		_, _ = fmt.Fprint(wri, "error: the generation failed\n\n")
 	case EngineFails:
 		wri.WriteHeader(http.StatusInternalServerError)
 		_, _ = fmt.Fprintln(wri, "failed")
--- a/standin/siteengine_stream.go
+++ b/standin/siteengine_stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -19,7 +20,7 @@
 
 func openSiteStream(wri http.ResponseWriter, mode EngineMode) (*siteStream, error) {
 	wri.Header().Set("Content-Type", "text/event-stream")
-	if mode != EngineUnframed && mode != EngineUnframedCuts && mode != EngineUnframedEmpty {
+	if !slices.Contains([]EngineMode{EngineUnframed, EngineUnframedCuts, EngineUnframedEmpty, EngineErrorInStream}, mode) {
 		return &siteStream{out: wri, flush: http.NewResponseController(wri).Flush}, nil
 	}
 	con, buf, err := beginUnframed(wri)
@@ -95,6 +96,10 @@
 			sen.markCut(run)
 			return
 		}
+		if mode == EngineErrorInStream && made > events/2 {
+			_ = stm.send("HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\nthe generation failed\n\n")
+			return
+		}
 		if mode.stopsInEvent() && made > events/2 {
 			_ = stm.send("id: %d\ndata: half", made)
 			if mode == EngineCuts {
