Find parts of prompts that crash engines just after their first events

Cause: a crash was reported with the parts of the prompt only if no event had arrived, and the first event counted as proof that all parts are sound, at the moment at which its engine crashed.

Change: a stream counts as just begun until 250 ms after its first event; a request shows that its parts are sound once its engine has gone on for so long, or has ended the stream. As sound requests begin all the time, crashes after first events condemn a part from the third on, half a second apart. A resumable stream that crashed its engine then is not sent to another one unless its parts are known to be sound.

--- a/dispatch/blame.go
+++ b/dispatch/blame.go
@@ -14,9 +14,12 @@
 	// condemningSoundCrashes is the number of engines for a part that was sound before the crashes, if each of the requests
 	// had other parts that come before it; see Blame.
 	condemningSoundCrashes = 4
-	// condemningLosses is the number of engines if some had not begun to answer: such a request may have waited while
-	// another one crashed the engine.
+	// condemningLosses is the number of engines if some had not begun to answer, or had sent events: such a request may have
+	// waited, or have just begun too, while another one crashed the engine.
 	condemningLosses = 3
+	// startedInterval is the time within which crashes count once if the engines had sent their first events: several
+	// sound requests may just have begun when engines end together.
+	startedInterval = 500 * time.Millisecond
 	// lossInterval is the time within which crashes count once if the engines had not begun to answer, as the engines of
 	// a failure domain may end together.
 	lossInterval = time.Second
@@ -35,21 +38,22 @@
 	maxTrialCrashes = 4
 )
 
-// PartCrash is a report that an endpoint crashed before a request there had its first event.
+// PartCrash is a report that an endpoint crashed before a request there had its first event, or just after it.
 type PartCrash struct {
 	Incarnation
 	// Digest identifies the request.
 	Digest uint64
 	// Parts are the parts of the request's prompt that other requests may have in common with it.
 	Parts []string
-	// Begun is true if the endpoint had just begun to answer the request.
-	Begun bool
+	// Begun is true if the endpoint had just begun to answer the request and had sent no event, Started if it had just sent the
+	// first events.
+	Begun, Started bool
 }
 
 // Blame finds the parts of prompts that crash the engines that begin to answer requests with them, whatever else the
 // requests hold. Such requests differ, so Suspects finds none of them twice.
 //
-// An event of a request shows that all parts of its prompt are sound. A crash is blamed on the parts of the request that
+// A request whose engine has not crashed just after its first event shows that all parts of its prompt are sound. A crash is blamed on the parts of the request that
 // have not been shown to be sound since; of these, on the parts that have never been shown to be sound if there are any.
 type Blame struct {
 	// crashes are the known crashes, the oldest first.
@@ -104,7 +108,12 @@
 	return crs
 }
 
-// Sound records that an engine produced an event at the time at for a request with these parts. It reports whether a
+// IsKnownSound reports whether a request with each of the parts has been shown to be sound.
+func (bla *Blame) IsKnownSound(parts []string) bool {
+	return !slices.ContainsFunc(parts, func(part string) bool { return bla.soundAt(part).IsZero() })
+}
+
+// Sound records that an engine that began to answer a request with these parts at the time at did not crash. It reports whether a
 // crash has been blamed on one of them, so that other daemons must learn of it.
 func (bla *Blame) Sound(now, at time.Time, parts []string) (blamed bool) {
 	for _, part := range parts {
@@ -194,9 +203,9 @@
 	})
 	return func(yield func(time.Time, PartCrash) bool) {
 		for _, crs := range crashes {
-			begun := crs.hasBegun()
+			begun := crs.hasBegun() || crs.hasStarted()
 			for _, rep := range crs.reports {
-				if rep.Begun == begun && !yield(crs.at, rep) {
+				if (rep.Begun || rep.Started) == begun && !yield(crs.at, rep) {
 					return
 				}
 			}
@@ -284,12 +293,12 @@
 	bla.condemned = map[string]map[*blameCrash]bool{}
 	first, unproven := bla.candidates()
 	for part, crashes := range first {
-		if begun, lost := bla.count(crashes); begun >= condemningCrashes || begun+lost >= condemningLosses {
+		if begun, started, lost := bla.count(crashes); begun >= condemningCrashes || begun+started+lost >= condemningLosses {
 			bla.condemned[part] = unproven[part]
 		}
 	}
 	for part, crashes := range unproven {
-		if begun, _ := bla.count(crashes); begun >= condemningSoundCrashes && bla.condemned[part] == nil && !bla.isExplained(crashes, nil) {
+		if begun, started, _ := bla.count(crashes); begun+started >= condemningSoundCrashes && bla.condemned[part] == nil && !bla.isExplained(crashes, nil) {
 			bla.condemned[part] = crashes
 		}
 	}
@@ -312,36 +321,45 @@
 	return added
 }
 
-// count returns how many of the crashes came just as an endpoint began to answer, and how many others, spaced by
-// lossInterval.
-func (bla *Blame) count(crashes map[*blameCrash]bool) (begun, lost int) {
-	var lastLoss time.Time
+// count returns how many of the crashes came just as an endpoint began to answer, how many just after its first events, spaced
+// by startedInterval, and how many others, spaced by lossInterval.
+func (bla *Blame) count(crashes map[*blameCrash]bool) (begun, started, lost int) {
+	var lastStart, lastLoss time.Time
 	for _, crs := range bla.crashes {
 		switch {
 		case !crashes[crs]:
 		case crs.hasBegun():
 			begun++
+		case crs.hasStarted():
+			if crs.at.Sub(lastStart) >= startedInterval {
+				started++
+				lastStart = crs.at
+			}
 		case crs.at.Sub(lastLoss) >= lossInterval:
 			lost++
 			lastLoss = crs.at
 		}
 	}
-	return begun, lost
+	return begun, started, lost
 }
 
 func (crs *blameCrash) hasBegun() bool {
 	return slices.ContainsFunc(crs.reports, func(rep PartCrash) bool { return rep.Begun })
 }
 
+func (crs *blameCrash) hasStarted() bool {
+	return slices.ContainsFunc(crs.reports, func(rep PartCrash) bool { return rep.Started })
+}
+
 // candidates returns the crashes by part that may be at fault for them: first the parts of requests that are blamed
 // before their other parts, unproven all parts without an event since the crash.
 func (bla *Blame) candidates() (first, unproven map[string]map[*blameCrash]bool) {
 	first, unproven = map[string]map[*blameCrash]bool{}, map[string]map[*blameCrash]bool{}
 	for _, crs := range bla.crashes {
-		begun := crs.hasBegun()
+		begun := crs.hasBegun() || crs.hasStarted()
 		for _, rep := range crs.reports {
 			// If the endpoint had begun to answer a request, the requests that waited there are not at fault.
-			if rep.Begun != begun {
+			if (rep.Begun || rep.Started) != begun {
 				continue
 			}
 			neverSent := slices.ContainsFunc(rep.Parts, func(part string) bool { return bla.soundAt(part).IsZero() })
--- a/dispatch/blame_test.go
+++ b/dispatch/blame_test.go
@@ -14,6 +14,8 @@
 	Crash string
 	Parts []string
 	Begun bool
+	// Started is true if it had just sent its first events.
+	Started bool
 	// Sound are the parts of a request that has its first event.
 	Sound []string
 	// Ask are the parts of a request that is about to be run, and Want is the part because of which it is refused.
@@ -43,7 +45,7 @@
 				bla.Forget(now)
 				switch {
 				case stp.Crash != "":
-					bla.Crashed(now, now, PartCrash{Incarnation: Incarnation{Endpoint: stp.Crash}, Digest: uint64(number), Parts: stp.Parts, Begun: stp.Begun})
+					bla.Crashed(now, now, PartCrash{Incarnation: Incarnation{Endpoint: stp.Crash}, Digest: uint64(number), Parts: stp.Parts, Begun: stp.Begun, Started: stp.Started})
 				case stp.Sound != nil:
 					bla.Sound(now, now, stp.Sound)
 				case stp.Ask != nil:
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -70,10 +70,12 @@
 	// AgeMS is the time since the crash in ms.
 	AgeMS int64 `json:"ageMs"`
 	// Parts are the parts of the request's prompt that other requests may have in common with it. They are empty if the
-	// request had an event before the crash.
+	// request had its first event well before the crash.
 	Parts []string `json:"parts,omitempty"`
-	// Begun is true if the endpoint had just begun to answer the request.
-	Begun bool `json:"begun,omitempty"`
+	// Begun is true if the endpoint had just begun to answer the request and had sent no event, Started if it had just sent the
+	// first events.
+	Begun   bool `json:"begun,omitempty"`
+	Started bool `json:"started,omitempty"`
 }
 
 // SoundParts has the time since the latest event of a request with a part, in ms, by the part's id.
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -23,7 +23,8 @@
 	maxSharedCrashes = 8
 	// condemnedRetry is the Retry-After of requests that are refused because they crashed several endpoints.
 	condemnedRetry = 30 * time.Second
-	// begunTime is how long after the head of its answer a stream without an event counts as just begun.
+	// begunTime is how long after the head of its answer, or after its first event, a stream counts as just begun. One that
+	// goes on for longer has not crashed its engine.
 	begunTime = 250 * time.Millisecond
 	// maxSoundDelay is the longest delay before a daemon tells the others that blamed parts are sound.
 	maxSoundDelay = 250 * time.Millisecond
@@ -36,7 +37,8 @@
 type interruption struct {
 	// events is the number of events that had arrived.
 	events int
-	// begun is true if the endpoint had just sent the head of the answer and no event.
+	// begun is true if the endpoint had just begun to answer: it had sent the head, or the first events, less than begunTime
+	// before.
 	begun bool
 }
 
@@ -91,8 +93,8 @@
 		crashed <- false
 		return crashed
 	}
-	found := exchange.Crash{Digest: rqs.digest(), Endpoint: edp.ID, StartedAt: edp.StartedAt, Begun: end.begun}
-	if end.events == 0 {
+	found := exchange.Crash{Digest: rqs.digest(), Endpoint: edp.ID, StartedAt: edp.StartedAt, Begun: end.begun && end.events == 0, Started: end.begun && end.events > 0}
+	if end.events == 0 || end.begun {
 		found.Parts = sharedParts(rqs.Parts)
 	}
 	broken := srv.Now()
@@ -115,6 +117,37 @@
 	return crashed
 }
 
+// noteEvents records that events arrived from the engine, for the search for parts that crash engines.
+func (one *run) noteEvents(now time.Time) {
+	if !one.hasEvent {
+		one.hasEvent, one.beganAt = true, now
+		one.server.setBeginning(one, false)
+	}
+	if !one.sound && now.Sub(one.beganAt) >= begunTime {
+		one.noteSound(now)
+	}
+}
+
+func (one *run) noteSound(now time.Time) {
+	one.sound = true
+	one.server.noteSound(now, one.beganAt, one.request)
+}
+
+// hasCrashed starts the check whether the engine of an interrupted stream has crashed. If the engine had just begun to
+// answer, it waits for the result: another engine would probably crash too. It does not wait once an event of a request
+// has arrived whose parts are all known to be sound.
+func (one *run) hasCrashed(ctx context.Context) bool {
+	if one.isMoving() {
+		return false
+	}
+	begun := one.server.Now().Sub(one.beganAt) < begunTime
+	crashed := one.server.checkCrash(ctx, one.request, one.endpoint, interruption{events: one.events, begun: begun})
+	if !begun || !one.route.Repeatable() || one.events > 0 && one.server.isKnownSound(one.request) {
+		return false
+	}
+	return <-crashed
+}
+
 // partIDs returns the ids of the parts of a prompt, for logs.
 func partIDs(parts []Part) []string {
 	ids := make([]string, 0, len(parts))
@@ -133,7 +166,7 @@
 		srv.Balancer.Failed(now, found.Endpoint, true)
 	}
 	condemned := srv.Blame.Crashed(now, now.Add(-milliseconds(found.AgeMS)), dispatch.PartCrash{
-		Incarnation: incarnation, Digest: found.Digest, Parts: found.Parts, Begun: found.Begun,
+		Incarnation: incarnation, Digest: found.Digest, Parts: found.Parts, Begun: found.Begun, Started: found.Started,
 	})
 	ended := srv.endBeginning(condemned)
 	srv.mutex.Unlock()
@@ -178,7 +211,7 @@
 	var found []exchange.Crash
 	for at, rep := range srv.Blame.Crashes() {
 		if len(found) < maxSharedCrashes {
-			found = append(found, exchange.Crash{Digest: rep.Digest, Endpoint: rep.Endpoint, StartedAt: rep.StartedAt, AgeMS: now.Sub(at).Milliseconds(), Parts: rep.Parts, Begun: rep.Begun})
+			found = append(found, exchange.Crash{Digest: rep.Digest, Endpoint: rep.Endpoint, StartedAt: rep.StartedAt, AgeMS: now.Sub(at).Milliseconds(), Parts: rep.Parts, Begun: rep.Begun, Started: rep.Started})
 		}
 	}
 	srv.Suspects.Each(now, func(digest uint64, endpoint dispatch.Incarnation) {
@@ -192,16 +225,23 @@
 	return found
 }
 
-// noteSound records that an engine has produced the first event of a request.
-func (srv *Server) noteSound(now time.Time, rqs *request) {
+// noteSound records that an engine that began to produce events of a request at the time at has not crashed since.
+func (srv *Server) noteSound(now, at time.Time, rqs *request) {
 	srv.mutex.Lock()
-	blamed := srv.Blame.Sound(now, now, sharedParts(rqs.Parts))
+	blamed := srv.Blame.Sound(now, at, sharedParts(rqs.Parts))
 	srv.mutex.Unlock()
 	if blamed {
 		srv.shareSound()
 	}
 }
 
+// isKnownSound reports whether all shared parts of a request's prompt have been in requests that crashed no engine.
+func (srv *Server) isKnownSound(rqs *request) bool {
+	srv.mutex.Lock()
+	defer srv.mutex.Unlock()
+	return srv.Blame.IsKnownSound(sharedParts(rqs.Parts))
+}
+
 // SoundParts returns what is known of the soundness of the parts in Crashes.
 func (srv *Server) SoundParts(now time.Time) exchange.SoundParts {
 	var parts []string
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -43,8 +43,10 @@
 	link     *Link
 	flight   *dispatch.Flight
 	endpoint *catalog.Endpoint
-	// openedAt is when the head of the engine's answer arrived.
-	openedAt time.Time
+	// beganAt is when the engine began to answer: when its head arrived, and then when its first event did. hasEvent is true
+	// from that event on, and sound is true once the engine has not crashed for begunTime since.
+	beganAt         time.Time
+	hasEvent, sound bool
 	// header is true once the response head was written to the caller.
 	header bool
 	// firstAt and lastAt are the times of the first and the latest event; pause is the longest gap between two events.
@@ -223,7 +225,7 @@
 		return outcomeUnknown, err
 	}
 	one.link, one.endpoint, one.flight = lnk, edp, flt
-	one.openedAt = srv.Now()
+	one.beganAt, one.hasEvent, one.sound = srv.Now(), false, false
 	srv.streams.add(one)
 	return outcomeAnswered, nil
 }
@@ -304,11 +306,11 @@
 	if one.flight.Work.Prefill > 0 {
 		one.server.started(one.flight)
 	}
-	if count > 0 && one.events == count {
-		one.server.setBeginning(one, false)
-		one.server.noteSound(one.server.Now(), one.request)
+	now := one.server.Now()
+	if count > 0 {
+		one.noteEvents(now)
 	}
-	one.observe(one.server.Now())
+	one.observe(now)
 	if _, err := one.writer.Write(events); err != nil {
 		return err
 	}
@@ -341,6 +343,9 @@
 func (one *run) finish() error {
 	one.writeHead()
 	one.status = one.link.Response.StatusCode
+	if one.hasEvent && !one.sound {
+		one.noteSound(one.server.Now())
+	}
 	if !one.firstAt.IsZero() {
 		one.server.Metrics.firstEvents.Observe(one.firstAt.Sub(one.begun).Seconds())
 		one.server.Metrics.pauses.Observe(one.pause.Seconds())
@@ -411,14 +416,3 @@
 func (one *run) isContinuation() bool {
 	return !one.header || mediaType(one.link.Response.Header) == mediaType(one.writer.Header())
 }
-
-// hasCrashed starts the check whether the engine of an interrupted stream has crashed. If the engine had just begun to
-// answer, it waits for the result: another engine would probably crash too.
-func (one *run) hasCrashed(ctx context.Context) bool {
-	if one.isMoving() {
-		return false
-	}
-	begun := one.events == 0 && one.server.Now().Sub(one.openedAt) < begunTime
-	crashed := one.server.checkCrash(ctx, one.request, one.endpoint, interruption{events: one.events, begun: begun})
-	return begun && one.route.Repeatable() && <-crashed
-}
--- a/standin/siteengine.go
+++ b/standin/siteengine.go
@@ -310,8 +310,13 @@
 	if mode != EngineUnsigned {
 		hdr.Set("Response-Signature", "signed."+sen.ID)
 	}
-	if sen.Site.isDeadly(req.Header.Get("Prompt-Prefix")) {
+	if deadly, events := sen.Site.isDeadly(req.Header.Get("Prompt-Prefix")); deadly {
 		wri.Header().Set("Content-Type", "text/event-stream")
+		for made := from + 1; made <= from+events; made++ {
+			_, _ = fmt.Fprintf(wri, "id: %d\ndata: %s\n\n", made, run.CallID)
+			_ = http.NewResponseController(wri).Flush()
+			time.Sleep(sen.Interval)
+		}
 		_ = http.NewResponseController(wri).Flush()
 		mode = EngineCrashes
 	}
--- a/standin/siteengines.go
+++ b/standin/siteengines.go
@@ -11,6 +11,8 @@
 	engines map[string]*SiteEngine
 	// deadly is the part of a prompt that crashes each engine that begins to answer it; empty means none.
 	deadly string
+	// deadlyEvents is the number of events that an engine sends before it crashes.
+	deadlyEvents int
 }
 
 // NewSiteEngines returns a site without engines.
@@ -44,21 +46,22 @@
 	return all
 }
 
-// SetDeadlyPart makes each engine crash that begins to answer a request with this part in its prompt.
-func (ses *SiteEngines) SetDeadlyPart(id string) {
+// SetDeadlyPart makes each engine crash that begins to answer a request with this part in its prompt, after so many events.
+func (ses *SiteEngines) SetDeadlyPart(id string, events int) {
 	ses.mutex.Lock()
 	defer ses.mutex.Unlock()
-	ses.deadly = id
+	ses.deadly, ses.deadlyEvents = id, events
 }
 
-// isDeadly reports whether a prompt, given as the header of its parts, contains the deadly part.
-func (ses *SiteEngines) isDeadly(prompt string) bool {
+// isDeadly reports whether a prompt, given as the header of its parts, contains the deadly part, and after how many events an
+// engine crashes then.
+func (ses *SiteEngines) isDeadly(prompt string) (deadly bool, events int) {
 	ses.mutex.Lock()
 	defer ses.mutex.Unlock()
 	for _, part := range strings.Split(prompt, ",") {
 		if id, _, _ := strings.Cut(part, ":"); id != "" && id == ses.deadly {
-			return true
+			return true, ses.deadlyEvents
 		}
 	}
-	return false
+	return false, 0
 }
