Mark endpoints that say in an answer that they leave

Change: an answer with Server-Leaving: 1 marks the endpoint as leaving, for its incarnation, at the daemon that got it: by the head of a plain answer or a stream, a failure or a refusal, but not a 421, which another endpoint may have sent. Such a mark is lifted by no entry, early or late; a later start under the id is another endpoint. Its generations are moved as on any sign of leaving, and the other daemons are told as of what an engine's report shows. Callers don't get the header.

--- a/catalog/fleet.go
+++ b/catalog/fleet.go
@@ -55,6 +55,8 @@
 	// Sequence is the number of the last entry that said so, or of the last one before the entry was removed; noSequence
 	// if the mark follows from no entry.
 	Sequence int64
+	// Stated is true if the endpoint itself said so in an answer. Then no entry of the incarnation lifts the mark.
+	Stated bool
 }
 
 // noSequence is lower than the number of any entry.
@@ -65,7 +67,7 @@
 	if edp.StartedAt != mrk.StartedAt {
 		return edp.StartedAt > mrk.StartedAt
 	}
-	return edp.StartedAt == 0 || edp.Sequence > mrk.Sequence
+	return edp.StartedAt == 0 || !mrk.Stated && edp.Sequence > mrk.Sequence
 }
 
 // outageGrace is the time that endpoints have to register again after an outage of the store. Until then the daemon
@@ -149,13 +151,22 @@
 	}
 }
 
-// MarkLeaving records a report by the endpoint or by a peer that an endpoint is leaving. It returns false and changes
-// nothing if the endpoint is marked already or the report is about an earlier incarnation under the same id.
-func (flt *Fleet) MarkLeaving(now time.Time, id string, bornAt int64) bool {
-	if _, known := flt.Leaving[id]; known || flt.Endpoints[id].StartedAt > bornAt {
+// MarkLeaving records a report by the endpoint or by a peer that an endpoint is leaving; with stated, the endpoint said so in
+// an answer. It returns false and changes nothing if the endpoint is marked so already or the report is about an earlier
+// incarnation under the same id.
+func (flt *Fleet) MarkLeaving(now time.Time, id string, bornAt int64, stated bool) bool {
+	mrk, known := flt.Leaving[id]
+	isNews := !known || stated && mrk.StartedAt <= bornAt && !mrk.Stated
+	if !isNews || flt.Endpoints[id].StartedAt > bornAt {
 		return false
 	}
 	flt.recordLeaving(now, id, bornAt, noSequence)
+	if stated {
+		mrk = flt.Leaving[id]
+		mrk.Stated = true
+		flt.Leaving[id] = mrk
+		flt.changes++
+	}
 	return true
 }
 
--- a/catalog/fleet_test.go
+++ b/catalog/fleet_test.go
@@ -14,12 +14,13 @@
 type fleetStep struct {
 	At          time.Duration
 	Put, Remove string
-	Mark        string
-	Replace     []string
-	State       State
-	Born        int64
-	Sequence    int64
-	Outage      bool
+	// Mark is reported by a peer to leave; Stated said so in an answer.
+	Mark, Stated string
+	Replace      []string
+	State        State
+	Born         int64
+	Sequence     int64
+	Outage       bool
 }
 
 type fleetCase struct {
@@ -72,7 +73,9 @@
 	case stp.Remove != "":
 		flt.Remove(now, stp.Remove)
 	case stp.Mark != "":
-		flt.MarkLeaving(now, stp.Mark, stp.Born)
+		flt.MarkLeaving(now, stp.Mark, stp.Born, false)
+	case stp.Stated != "":
+		flt.MarkLeaving(now, stp.Stated, stp.Born, true)
 	case stp.Outage:
 		flt.RecordOutage(now)
 	case stp.Replace != nil:
--- a/control/control.go
+++ b/control/control.go
@@ -254,12 +254,14 @@
 	// BornAt is the start time of each endpoint by id; it distinguishes an endpoint from an earlier one with the same id.
 	BornAt map[string]int64
 	Source string
+	// Stated is true if they said so in answers to this daemon.
+	Stated bool
 }
 
 // Apply marks the endpoints as leaving.
 func (lea Leaving) Apply(now time.Time, ctl *Control) {
 	for id, bornAt := range lea.BornAt {
-		if ctl.fleet.MarkLeaving(now, id, bornAt) {
+		if ctl.fleet.MarkLeaving(now, id, bornAt, lea.Stated) {
 			ctl.sources[id] = lea.Source
 		}
 	}
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -128,6 +128,7 @@
 	srv.OwnEngines = dmn.Exchange.OwnEngines
 	srv.OnCrash, srv.OnSoundParts = dmn.Exchange.ShareCrash, dmn.Exchange.ShareSoundParts
 	srv.OnWork = dmn.Exchange.WorkChanged
+	srv.OnLeaving = func(id string, bornAt int64) { go dmn.markLeaving(id, bornAt) }
 	srv.AskPermit, srv.OnLimit = dmn.Exchange.AskPermit, dmn.Exchange.ShareLimit
 	dmn.Prober.Name, dmn.Prober.Control, dmn.Prober.Exchange, dmn.Prober.Engines, dmn.Prober.Logger = set.Name, dmn.Control, dmn.Exchange, srv.Engines, dmn.Logger
 	dmn.Exchange.Address = set.PeerAddress
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -195,6 +195,7 @@
 	}
 	defer lnk.Close()
 	ans := srv.Wire.ParseAnswer(lnk.Response)
+	srv.noteLeaving(edp, ans)
 	if rqs.hasNotRun(ans) {
 		srv.noteAnswer(edp.ID, ans, false)
 		return nil, outcomeNotRun, nil
--- a/gateway/scenario_start_test.go
+++ b/gateway/scenario_start_test.go
@@ -45,6 +45,17 @@
 	sit.beat(args[0], "ready")
 }
 
+// restartEngine starts an engine again under its id and address.
+func (sit *site) restartEngine(id, name string) {
+	sit.born++
+	edp := sit.engines[id]
+	edp.born, edp.beats = sit.born, 0
+	other := &siteEndpoint{SiteEngine: standin.NewSiteEngine(id), server: edp.server}
+	edp.answering.Store(other.SiteEngine)
+	sit.engines[name] = other
+	sit.beat(id, "ready")
+}
+
 func (sit *site) beat(id, state string) {
 	edp := sit.engines[id]
 	edp.beats++
--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -228,6 +228,10 @@
 		sit.beat(args[1], "ready")
 	case "late": // late ENGINE SEQUENCE: its write with this number, of the state ready, reaches the store only now
 		sit.write(args[1], "ready", sit.number(args[2]))
+	case "says": // says ENGINE: it says from now on in all its answers that it leaves
+		sit.engines[args[1]].SetSaysLeaving()
+	case "reborn": // reborn ENGINE NEW: a new incarnation under its id and address, whose runs count as those of NEW
+		sit.restartEngine(args[1], args[2])
 	case "leaves": // leaves ENGINE: the engine's report says from now on that it leaves
 		sit.engines[args[1]].SetDraining()
 	case "full": // full ENGINE: it refuses copies from now on
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -68,6 +68,8 @@
 	AskPermit func(ctx context.Context, req *exchange.PermitRequest) (*exchange.PermitReply, error)
 	// OnLimit, if set, is called when an endpoint has named another limit or none.
 	OnLimit func(lim *exchange.EndpointLimit)
+	// OnLeaving, if set, is called when an endpoint has said in an answer that it leaves; it must not block.
+	OnLeaving func(id string, bornAt int64)
 	// Blame finds the parts of prompts that crash endpoints.
 	Blame   *dispatch.Blame
 	Metrics *Metrics
--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -69,6 +69,8 @@
 	Encoded bool
 	// Load is nil if the answer does not report it.
 	Load *Load
+	// Leaving is true if the endpoint says that it leaves.
+	Leaving bool
 	// RateLimit is the number of requests a second that the endpoint takes from all daemons together; nil if it names none.
 	RateLimit *float64
 }
--- a/standin/siteengine.go
+++ b/standin/siteengine.go
@@ -95,6 +95,8 @@
 	refuseCopies bool
 	// rateLimit is the value of the header Server-Limit in answers; empty means that they have none.
 	rateLimit string
+	// saysLeaving is true if all answers have the header Server-Leaving.
+	saysLeaving bool
 }
 
 // siteGeneration is a stream that is being sent.
@@ -127,6 +129,13 @@
 	sen.leaving = true
 }
 
+// SetSaysLeaving makes the engine say in all its answers that it leaves.
+func (sen *SiteEngine) SetSaysLeaving() {
+	sen.mutex.Lock()
+	defer sen.mutex.Unlock()
+	sen.saysLeaving = true
+}
+
 // SetRateLimit makes the engine name a limit of requests a second in its answers; an empty limit means none.
 func (sen *SiteEngine) SetRateLimit(perSecond string) {
 	sen.mutex.Lock()
@@ -279,6 +288,9 @@
 	if last, err := strconv.Atoi(hdr.Get("Last-Event-Id")); err == nil {
 		from = last
 	}
+	if sen.saysLeaving {
+		wri.Header().Set("Server-Leaving", "1")
+	}
 	sen.mutex.Unlock()
 	if mode == EngineRefuses {
 		wri.Header().Set("Not-Executed", "1")
