Wrap long comments and literals of the search for crashing parts

Change: wrapped; one comment on errNotEvents reworded. No behaviour changes; the tests of dispatch and gateway on blame and crashes pass.

--- a/dispatch/blame.go
+++ b/dispatch/blame.go
@@ -53,8 +53,9 @@
 // Blame finds the parts of prompts that crash the engines that begin to answer requests with them, whatever else the
 // requests hold. Such requests differ, so Suspects finds none of them twice.
 //
-// A request whose engine has not crashed just after its first event shows that all parts of its prompt are sound. A crash is blamed on the parts of the request that
-// have not been shown to be sound since; of these, on the parts that have never been shown to be sound if there are any.
+// A request whose engine has not crashed just after its first event shows that all parts of its prompt are sound. A crash is
+// blamed on the parts of the request that have not been shown to be sound since; of these, on the parts that have never been
+// shown to be sound if there are any.
 type Blame struct {
 	// crashes are the known crashes, the oldest first.
 	crashes []*blameCrash
@@ -113,8 +114,8 @@
 	return !slices.ContainsFunc(parts, func(part string) bool { return bla.soundAt(part).IsZero() })
 }
 
-// Sound records that an engine that began to answer a request with these parts at the time at did not crash. It reports whether a
-// crash has been blamed on one of them, so that other daemons must learn of it.
+// Sound records that an engine that began to answer a request with these parts at the time at did not crash. It reports
+// whether a crash has been blamed on one of them, so that other daemons must learn of it.
 func (bla *Blame) Sound(now, at time.Time, parts []string) (blamed bool) {
 	for _, part := range parts {
 		if at.After(bla.soundAt(part)) {
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -28,7 +28,7 @@
 	errPoolExhausted = errors.New("too many long answers are buffered at once")
 )
 
-// errNotEvents is the error of a stream with data that has not the form of events.
+// errNotEvents is the error of an event stream with data that is not in the form of events.
 var errNotEvents = errors.New("the stream has data that is no event")
 
 // exceededLimit returns the name of the limit that an answer exceeded, as a metric label; it is empty for other errors.
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -93,7 +93,10 @@
 		crashed <- false
 		return crashed
 	}
-	found := exchange.Crash{Digest: rqs.digest(), Endpoint: edp.ID, StartedAt: edp.StartedAt, Begun: end.begun && end.events == 0, Started: end.begun && end.events > 0}
+	found := exchange.Crash{
+		Digest: rqs.digest(), Endpoint: edp.ID, StartedAt: edp.StartedAt,
+		Begun: end.begun && end.events == 0, Started: end.begun && end.events > 0,
+	}
 	if end.events == 0 || end.begun {
 		found.Parts = sharedParts(rqs.Parts)
 	}
@@ -211,7 +214,10 @@
 	var found []exchange.Crash
 	for at, rep := range srv.Blame.Crashes() {
 		if len(found) < maxSharedCrashes {
-			found = append(found, exchange.Crash{Digest: rep.Digest, Endpoint: rep.Endpoint, StartedAt: rep.StartedAt, AgeMS: now.Sub(at).Milliseconds(), Parts: rep.Parts, Begun: rep.Begun, Started: rep.Started})
+			found = append(found, exchange.Crash{
+				Digest: rep.Digest, Endpoint: rep.Endpoint, StartedAt: rep.StartedAt, AgeMS: now.Sub(at).Milliseconds(),
+				Parts: rep.Parts, Begun: rep.Begun, Started: rep.Started,
+			})
 		}
 	}
 	srv.Suspects.Each(now, func(digest uint64, endpoint dispatch.Incarnation) {
