--- a/dispatch/blame.go
+++ b/dispatch/blame.go
@@ -3,210 +3,335 @@
 import (
 	"cmp"
 	"iter"
+	"maps"
 	"slices"
 	"time"
 )
 
 const (
-	// condemningCrashes is the number of engines that must have crashed just as they began to answer requests with a part
-	// of a prompt in common before requests with that part are refused.
+	// condemningCrashes is the number of engines that must have crashed after the head of an answer and before its first event
+	// until requests with a part of a prompt that these requests had in common are refused.
 	condemningCrashes = 2
-	// condemningSoundCrashes is the number of engines for a part that was sound before the crashes, if each of the requests
-	// had other parts that come before it; see Blame.
-	condemningSoundCrashes = 4
-	// condemningLosses is the number of engines if some had not begun to answer, or had sent events: such a request may have
-	// waited, or have just begun too, while another one crashed the engine.
+	// condemningLosses is the number of engines if some had sent events, or no head: such a request may have run, or waited,
+	// while another one crashed the engine.
 	condemningLosses = 3
-	// startedInterval is the time within which crashes count once if the engines had sent their first events: several
-	// sound requests may just have begun when engines end together.
+	// condemningSoundCrashes is the number of engines for a part that has been in a whole answer.
+	condemningSoundCrashes = 4
+	// condemningTogether is the number of engines if they crashed within startedInterval or lossInterval, or while most
+	// engines crash without the part.
+	condemningTogether = 5
+	// startedInterval is the time within which crashes count once if the engines had sent events: several sound requests may
+	// be running when engines end together.
 	startedInterval = 500 * time.Millisecond
 	// lossInterval is the time within which crashes count once if the engines had not begun to answer, as the engines of
 	// a failure domain may end together.
 	lossInterval = time.Second
-	// crashSpread is the time within which all reports of an endpoint are about the same crash. An engine that has
-	// crashed takes longer to start again.
+	// togetherDelay is the time after which condemningTogether crashes count without regard to the intervals, as the requests
+	// that run elsewhere have shown by then that their parts are sound.
+	togetherDelay = time.Second
+	// crashSpread is the time within which all reports of an endpoint without a start time are about the same crash. An
+	// engine that has crashed takes longer to start again.
 	crashSpread = 1500 * time.Millisecond
 	// blameRetention is how long a crash is counted.
 	blameRetention = 2 * time.Minute
 	// maxBlameCrashes bounds the crashes that are counted; the oldest ones are dropped.
 	maxBlameCrashes = 64
+	// maxCrashReports bounds the requests that one crash is blamed on.
+	maxCrashReports = 256
 	// maxSoundParts bounds each of the two generations of parts that are known to be sound.
 	maxSoundParts = 4096
+	// maxSharedRuns bounds the runs with one part in Refuting, and maxKnownParts the parts that are known to be sound.
+	maxSharedRuns = 4
+	maxKnownParts = 64
 	// trialInterval is the minimum time between two trials of a part; see Blame.tries.
 	trialInterval = time.Second
-	// maxTrialCrashes is the number of crashes from which a part is no longer tried.
-	maxTrialCrashes = 4
+	// maxTrialCrashes is the number of engines that crashed in trials of a part from which it is no longer tried.
+	maxTrialCrashes = 2
+	// evaluationInterval is the time after which the condemned parts are evaluated again without new reports.
+	evaluationInterval = 500 * time.Millisecond
 )
 
-// PartCrash is a report that an endpoint crashed before a request there had its first event, or just after it.
+// PartCrash is a report that an endpoint crashed while it ran a request, or after that.
 type PartCrash struct {
 	Incarnation
 	// Digest identifies the request.
 	Digest uint64
 	// Parts are the parts of the request's prompt that other requests may have in common with it.
 	Parts []string
-	// Begun is true if the endpoint had just begun to answer the request and had sent no event, Started if it had just sent the
-	// first events.
+	// Begun is true if the endpoint had begun to answer the request and had sent no event, Started if it had sent events or
+	// ended the answer.
 	Begun, Started bool
+	// Age is the time from the start of the answer to the crash.
+	Age time.Duration
+	// Trial is true if the request ran as a trial; see Condemned.
+	Trial bool
 }
 
+func (rep *PartCrash) stage() stage {
+	switch {
+	case rep.Begun:
+		return stageBegun
+	case rep.Started:
+		return stageStarted
+	}
+	return stageWaiting
+}
+
+// stage is how far the answer to a request was when its endpoint crashed, the least suspicious one first.
+type stage int
+
+const (
+	stageWaiting stage = iota
+	stageStarted
+	stageBegun
+)
+
 // Blame finds the parts of prompts that crash the engines that begin to answer requests with them, whatever else the
-// requests hold. Such requests differ, so Suspects finds none of them twice.
+// requests hold. Such requests differ, so Suspects finds none of them twice. An engine may crash at once, after some events,
+// or after the end of a short answer.
 //
-// A request whose engine has not crashed just after its first event shows that all parts of its prompt are sound. A crash is
-// blamed on the parts of the request that have not been shown to be sound since; of these, on the parts that have never been
-// shown to be sound if there are any.
+// A crash is blamed on the parts of all requests that its engine ran. It is not blamed on a part if another run with it began
+// later and its engine has gone on for longer. A run that has not ended refutes one crash only, as its engine may crash yet.
+// Parts that have never been in a whole answer are blamed first.
 type Blame struct {
 	// crashes are the known crashes, the oldest first.
 	crashes []*blameCrash
-	// sound has the time of the latest first event by part. Once it is full, it becomes older.
-	sound, older map[string]time.Time
-	// shared has what all daemons know of the soundness of blamed parts.
-	shared map[string]time.Time
-	// condemned has the crashes that each condemned part explains.
+	// exposures are the runs that have not crashed their engine, the oldest first.
+	exposures []*Exposure
+	// sound has what is known of sound parts. Once it is full, it becomes older.
+	sound, older map[string]soundness
+	// condemned has the crashes that each condemned part explains, and reported the parts that Changes has returned.
 	condemned map[string]map[*blameCrash]bool
+	reported  map[string]bool
 	triedAt   map[string]time.Time
+	// told are the blamed parts of which all daemons know that they have been in a whole answer.
+	told map[string]bool
+	// refuting are the runs that refute a crash, by part.
+	refuting map[string][]refutation
+	// changed is true if there are new reports or runs since the evaluation at evaluatedAt.
+	changed     bool
+	evaluatedAt time.Time
+}
+
+// soundness is what is known of a part of prompts.
+type soundness struct {
+	// knownAt is when the latest whole answer to a request with the part began.
+	knownAt time.Time
+	// at is when the latest run began whose engine is known not to have crashed for exposureRetention.
+	at time.Time
 }
 
 // blameCrash is one crash of an endpoint, with what the daemons reported of it.
 type blameCrash struct {
-	endpoint string
+	endpoint Incarnation
 	at       time.Time
 	reports  []PartCrash
+	parts    map[string]suspicion
+}
+
+// refutation is a run because of which a crash is not blamed on a part.
+type refutation struct {
+	run *Exposure
+	// needed is how long the run must have lasted.
+	needed time.Duration
 }
 
 // NewBlame returns a Blame that knows no crash.
 func NewBlame() *Blame {
-	return &Blame{sound: map[string]time.Time{}, shared: map[string]time.Time{}, condemned: map[string]map[*blameCrash]bool{}, triedAt: map[string]time.Time{}}
+	return &Blame{
+		sound: map[string]soundness{}, condemned: map[string]map[*blameCrash]bool{}, reported: map[string]bool{},
+		triedAt: map[string]time.Time{}, told: map[string]bool{}, refuting: map[string][]refutation{},
+	}
 }
 
-// Crashed records a crash at the time at and returns the parts that are condemned from now on.
-func (bla *Blame) Crashed(now, at time.Time, rep PartCrash) (condemned []string) {
-	if len(rep.Parts) == 0 || now.Sub(at) >= blameRetention {
+// Crashed records a crash at the time at. It returns reports on the requests that this daemon had sent to the endpoint before
+// and that had ended by then.
+func (bla *Blame) Crashed(now, at time.Time, rep PartCrash) (ended []PartCrash) {
+	if now.Sub(at) >= blameRetention {
 		return nil
 	}
-	crs := bla.find(at, rep.Endpoint)
-	if slices.ContainsFunc(crs.reports, func(old PartCrash) bool { return old.Digest == rep.Digest }) {
-		return nil
+	runs := bla.crashedWith(rep.Incarnation, rep.Digest, at)
+	if len(rep.Parts) > 0 {
+		bla.record(at, rep)
 	}
-	crs.reports = append(crs.reports, rep)
-	return bla.evaluate(now)
+	for _, exp := range runs {
+		own := PartCrash{Incarnation: exp.Incarnation, Digest: exp.Digest, Parts: exp.Parts, Started: true, Age: at.Sub(exp.BeganAt)}
+		bla.record(at, own)
+		ended = append(ended, own)
+	}
+	return ended
+}
+
+func (bla *Blame) record(at time.Time, rep PartCrash) {
+	crs := bla.find(at, rep.Incarnation)
+	known := slices.IndexFunc(crs.reports, func(old PartCrash) bool { return old.Digest == rep.Digest })
+	switch {
+	case known >= 0 && rep.stage() <= crs.reports[known].stage():
+		return
+	case known >= 0:
+		// The daemon that sent the request knows most of it.
+		crs.reports[known] = rep
+	case len(crs.reports) >= maxCrashReports:
+		return
+	default:
+		crs.reports = append(crs.reports, rep)
+	}
+	for _, part := range rep.Parts {
+		sus, known := crs.parts[part]
+		beganAt := at.Add(-rep.Age)
+		if answered := rep.stage() > stageWaiting; !known || answered && (sus.stage == stageWaiting || beganAt.After(sus.beganAt)) {
+			sus.beganAt = beganAt
+		}
+		sus.crash, sus.stage = crs, max(sus.stage, rep.stage())
+		crs.parts[part] = sus
+	}
+	bla.changed = true
 }
 
 // find returns the crash of an endpoint at a time; it adds one if it is not known yet.
-func (bla *Blame) find(at time.Time, endpoint string) *blameCrash {
+func (bla *Blame) find(at time.Time, endpoint Incarnation) *blameCrash {
 	for _, crs := range bla.crashes {
-		if crs.endpoint == endpoint && crs.at.Sub(at).Abs() < crashSpread {
+		if crs.endpoint == endpoint && (endpoint.StartedAt != 0 || crs.at.Sub(at).Abs() < crashSpread) {
+			// A daemon that was frozen notices a crash late.
+			if at.Before(crs.at) {
+				crs.at = at
+				bla.sortCrashes()
+			}
 			return crs
 		}
 	}
-	crs := &blameCrash{endpoint: endpoint, at: at}
+	crs := &blameCrash{endpoint: endpoint, at: at, parts: map[string]suspicion{}}
 	bla.crashes = append(bla.crashes, crs)
-	slices.SortStableFunc(bla.crashes, func(one, other *blameCrash) int { return one.at.Compare(other.at) })
+	bla.sortCrashes()
 	if len(bla.crashes) > maxBlameCrashes {
 		bla.crashes = slices.Delete(bla.crashes, 0, 1)
 	}
 	return crs
 }
 
-// IsKnownSound reports whether a request with each of the parts has been shown to be sound.
+func (bla *Blame) sortCrashes() {
+	slices.SortStableFunc(bla.crashes, func(one, other *blameCrash) int { return one.at.Compare(other.at) })
+}
+
+// hasCrashed reports whether an endpoint is known to have crashed after a time.
+func (bla *Blame) hasCrashed(endpoint Incarnation, since time.Time) bool {
+	return slices.ContainsFunc(bla.crashes, func(crs *blameCrash) bool { return crs.endpoint == endpoint && !crs.at.Before(since) })
+}
+
+// IsKnownSound reports whether each of the parts has been in a request with a whole answer.
 func (bla *Blame) IsKnownSound(parts []string) bool {
-	return !slices.ContainsFunc(parts, func(part string) bool { return bla.soundAt(part).IsZero() })
+	return !slices.ContainsFunc(parts, func(part string) bool { return bla.soundness(part).knownAt.IsZero() })
 }
 
-// Sound records that an engine that began to answer a request with these parts at the time at did not crash. It reports
-// whether a crash has been blamed on one of them, so that other daemons must learn of it.
-func (bla *Blame) Sound(now, at time.Time, parts []string) (blamed bool) {
+// Sound records that an engine that began to answer a request with these parts at the time at has gone on long enough.
+func (bla *Blame) Sound(at time.Time, parts []string) {
 	for _, part := range parts {
-		if at.After(bla.soundAt(part)) {
-			bla.setSound(part, at)
+		bla.markKnown(part, at)
+		if snd := bla.sound[part]; at.After(snd.at) {
+			snd.at = at
+			bla.sound[part] = snd
+			bla.changed = bla.changed || bla.condemned[part] != nil
 		}
-		blamed = blamed || bla.isBlamed(part)
-	}
-	if blamed && len(bla.condemned) > 0 {
-		bla.evaluate(now)
 	}
-	return blamed
 }
 
-func (bla *Blame) setSound(part string, at time.Time) {
+// markKnown records a whole answer that began at the time at.
+func (bla *Blame) markKnown(part string, at time.Time) {
+	snd := bla.soundness(part)
+	if at.After(snd.knownAt) {
+		snd.knownAt = at
+	}
 	if len(bla.sound) >= maxSoundParts {
-		bla.sound, bla.older = map[string]time.Time{}, bla.sound
+		bla.sound, bla.older = map[string]soundness{}, bla.sound
 	}
-	bla.sound[part] = at
+	bla.sound[part] = snd
 }
 
-// soundAt returns the time of the latest event for a request with the part; zero if none is known.
-func (bla *Blame) soundAt(part string) time.Time {
-	if at, ok := bla.sound[part]; ok {
-		return at
+func (bla *Blame) soundness(part string) soundness {
+	if snd, ok := bla.sound[part]; ok {
+		return snd
 	}
 	return bla.older[part]
 }
 
-func (bla *Blame) isBlamed(part string) bool {
-	return slices.ContainsFunc(bla.crashes, func(crs *blameCrash) bool { return crs.has(part) })
-}
-
-func (crs *blameCrash) has(part string) bool {
-	return slices.ContainsFunc(crs.reports, func(rep PartCrash) bool { return slices.Contains(rep.Parts, part) })
-}
-
-// SoundAges returns the time since the latest event of a request with each of the parts, for those that had one.
-func (bla *Blame) SoundAges(now time.Time, parts []string) map[string]time.Duration {
-	ages := map[string]time.Duration{}
-	for _, part := range parts {
-		if at := bla.soundAt(part); !at.IsZero() {
-			ages[part] = now.Sub(at)
+// Refuting returns runs that refute that parts are at fault for crashes, for the other daemons. With onlyNews, it returns those
+// that they have not been told of, and takes them for told.
+func (bla *Blame) Refuting(now time.Time, onlyNews bool) []Exposure {
+	bla.evaluate(now)
+	runs := bla.known(onlyNews)
+	added := map[*Exposure]bool{}
+	for _, all := range bla.refuting {
+		count := 0
+		for _, ref := range all {
+			exp := ref.run
+			if count >= maxSharedRuns || added[exp] || onlyNews && (exp.remote || exp.shared >= ref.needed) {
+				continue
+			}
+			runs = append(runs, *exp)
+			added[exp] = true
+			count++
+			if onlyNews {
+				exp.shared = exp.lasted(now)
+			}
 		}
 	}
-	return ages
+	return runs
 }
 
-// News returns the SoundAges of blamed parts that the other daemons do not know yet and that change what they blame.
-func (bla *Blame) News(now time.Time) map[string]time.Duration {
-	var parts []string
+// known returns what is known of the soundness of blamed parts besides the runs that are kept: first one run with the parts that
+// have been in whole answers, those of the most crashes first.
+func (bla *Blame) known(onlyNews bool) []Exposure {
+	counts := map[string]int{}
 	for _, crs := range bla.crashes {
-		for _, rep := range crs.reports {
-			parts = append(parts, rep.Parts...)
+		for part := range crs.parts {
+			counts[part]++
 		}
 	}
-	news := bla.SoundAges(now, parts)
-	for part := range news {
-		known, at := bla.shared[part], bla.soundAt(part)
-		changes := slices.ContainsFunc(bla.crashes, func(crs *blameCrash) bool {
-			return crs.has(part) && known.Before(crs.at) && at.After(crs.at)
-		})
-		if !known.IsZero() && !changes {
-			delete(news, part)
+	maps.DeleteFunc(bla.told, func(part string, _ bool) bool { return counts[part] == 0 })
+	var parts []string
+	var settled []Exposure
+	for part, count := range counts {
+		snd := bla.soundness(part)
+		if snd.knownAt.IsZero() || onlyNews && bla.told[part] {
+			continue
+		}
+		parts = append(parts, part)
+		if !snd.at.IsZero() && count >= condemningCrashes {
+			settled = append(settled, Exposure{Parts: []string{part}, BeganAt: snd.at, HeardAt: snd.at, Settled: true})
 		}
 	}
-	bla.Shared(now, news)
-	return news
-}
-
-// Shared records that all daemons know of the soundness of parts, given as in SoundAges.
-func (bla *Blame) Shared(now time.Time, ages map[string]time.Duration) {
-	for part, age := range ages {
-		if at := now.Add(-age); bla.isBlamed(part) && at.After(bla.shared[part]) {
-			bla.shared[part] = at
+	if len(parts) == 0 {
+		return nil
+	}
+	slices.SortFunc(parts, func(one, other string) int {
+		return cmp.Or(cmp.Compare(counts[other], counts[one]), cmp.Compare(one, other))
+	})
+	parts = parts[:min(len(parts), maxKnownParts)]
+	if onlyNews {
+		for _, part := range parts {
+			bla.told[part] = true
 		}
 	}
+	at := bla.soundness(parts[0]).knownAt
+	return append([]Exposure{{Parts: parts, BeganAt: at, HeardAt: at}}, settled...)
 }
 
-// Crashes returns the reports of crashes that parts are blamed for, with their times: first those for which parts are
-// condemned, then the latest.
-func (bla *Blame) Crashes() iter.Seq2[time.Time, PartCrash] {
-	crashes := slices.Clone(bla.crashes)
-	slices.Reverse(crashes)
-	slices.SortStableFunc(crashes, func(one, other *blameCrash) int {
-		return cmp.Compare(bla.rank(one), bla.rank(other))
-	})
+// Crashes returns the reports of crashes that parts are blamed for, with their times: first one for each crash that a
+// condemned part explains, then the latest.
+func (bla *Blame) Crashes(now time.Time) iter.Seq2[time.Time, PartCrash] {
+	if bla.changed {
+		bla.evaluate(now)
+	}
 	return func(yield func(time.Time, PartCrash) bool) {
-		for _, crs := range crashes {
-			begun := crs.hasBegun() || crs.hasStarted()
-			for _, rep := range crs.reports {
-				if (rep.Begun || rep.Started) == begun && !yield(crs.at, rep) {
+		first := bla.condemning()
+		for crs, at := range first {
+			if !yield(crs.at, crs.reports[at]) {
+				return
+			}
+		}
+		for _, crs := range slices.Backward(bla.crashes) {
+			for i, rep := range crs.reports {
+				if at, told := first[crs]; (!told || at != i) && !yield(crs.at, rep) {
 					return
 				}
 			}
@@ -214,19 +339,26 @@
 	}
 }
 
-// rank returns 0 for a crash that a condemned part explains, 1 for others.
-func (bla *Blame) rank(crs *blameCrash) int {
-	for _, explained := range bla.condemned {
-		if explained[crs] {
-			return 0
+// condemning returns the index of a report with a condemned part, by crash.
+func (bla *Blame) condemning() map[*blameCrash]int {
+	first := map[*blameCrash]int{}
+	for part, explained := range bla.condemned {
+		for crs := range explained {
+			at := slices.IndexFunc(crs.reports, func(rep PartCrash) bool { return slices.Contains(rep.Parts, part) })
+			if _, known := first[crs]; !known && at >= 0 {
+				first[crs] = at
+			}
 		}
 	}
-	return 1
+	return first
 }
 
 // Condemned returns a part because of which a request with these parts must not be run. The part is empty if the request
 // may run; trial is true if it may only run to show which of several parts is at fault.
 func (bla *Blame) Condemned(now time.Time, parts []string) (condemned string, trial bool) {
+	if bla.changed {
+		bla.evaluate(now)
+	}
 	if len(bla.condemned) == 0 {
 		return "", false
 	}
@@ -242,11 +374,28 @@
 	return "", trial
 }
 
-// Forget drops expired crashes and what is condemned for them.
-func (bla *Blame) Forget(now time.Time) {
-	if len(bla.crashes) > 0 && now.Sub(bla.crashes[0].at) >= blameRetention {
+// Changes returns the parts that have been condemned, and those that no longer are, since its last call. It drops what has
+// expired.
+func (bla *Blame) Changes(now time.Time) (condemned, lifted []string) {
+	bla.forgetExposures(now)
+	if bla.changed || len(bla.crashes) > 0 && now.Sub(bla.evaluatedAt) >= evaluationInterval {
 		bla.evaluate(now)
 	}
+	for part := range bla.condemned {
+		if !bla.reported[part] {
+			condemned = append(condemned, part)
+			bla.reported[part] = true
+		}
+	}
+	for part := range bla.reported {
+		if bla.condemned[part] == nil {
+			lifted = append(lifted, part)
+			delete(bla.reported, part)
+		}
+	}
+	slices.Sort(condemned)
+	slices.Sort(lifted)
+	return condemned, lifted
 }
 
 // CondemnedCount returns the number of condemned parts.
@@ -258,7 +407,13 @@
 // they crashed engines, any of these may be at fault. A request with only some of them shows which.
 func (bla *Blame) tries(now time.Time, part string, parts []string) bool {
 	explained := bla.condemned[part]
-	if len(explained) >= maxTrialCrashes || now.Sub(bla.triedAt[part]) < trialInterval {
+	tried := 0
+	for crs := range explained {
+		if slices.ContainsFunc(crs.reports, func(rep PartCrash) bool { return rep.Trial && slices.Contains(rep.Parts, part) }) {
+			tried++
+		}
+	}
+	if tried >= maxTrialCrashes || now.Sub(bla.triedAt[part]) < trialInterval {
 		return false
 	}
 	if bla.isExplained(explained, parts) {
@@ -286,102 +441,3 @@
 	}
 	return true
 }
-
-// evaluate drops expired crashes, determines the condemned parts and returns those that were not condemned before.
-func (bla *Blame) evaluate(now time.Time) (added []string) {
-	bla.crashes = slices.DeleteFunc(bla.crashes, func(crs *blameCrash) bool { return now.Sub(crs.at) >= blameRetention })
-	old := bla.condemned
-	bla.condemned = map[string]map[*blameCrash]bool{}
-	first, unproven := bla.candidates()
-	for part, crashes := range first {
-		if begun, started, lost := bla.count(crashes); begun >= condemningCrashes || begun+started+lost >= condemningLosses {
-			bla.condemned[part] = unproven[part]
-		}
-	}
-	for part, crashes := range unproven {
-		if begun, started, _ := bla.count(crashes); begun+started >= condemningSoundCrashes && bla.condemned[part] == nil && !bla.isExplained(crashes, nil) {
-			bla.condemned[part] = crashes
-		}
-	}
-	for part := range bla.condemned {
-		if old[part] == nil {
-			added = append(added, part)
-		}
-	}
-	for part := range bla.shared {
-		if !bla.isBlamed(part) {
-			delete(bla.shared, part)
-		}
-	}
-	for part := range bla.triedAt {
-		if bla.condemned[part] == nil {
-			delete(bla.triedAt, part)
-		}
-	}
-	slices.Sort(added)
-	return added
-}
-
-// count returns how many of the crashes came just as an endpoint began to answer, how many just after its first events, spaced
-// by startedInterval, and how many others, spaced by lossInterval.
-func (bla *Blame) count(crashes map[*blameCrash]bool) (begun, started, lost int) {
-	var lastStart, lastLoss time.Time
-	for _, crs := range bla.crashes {
-		switch {
-		case !crashes[crs]:
-		case crs.hasBegun():
-			begun++
-		case crs.hasStarted():
-			if crs.at.Sub(lastStart) >= startedInterval {
-				started++
-				lastStart = crs.at
-			}
-		case crs.at.Sub(lastLoss) >= lossInterval:
-			lost++
-			lastLoss = crs.at
-		}
-	}
-	return begun, started, lost
-}
-
-func (crs *blameCrash) hasBegun() bool {
-	return slices.ContainsFunc(crs.reports, func(rep PartCrash) bool { return rep.Begun })
-}
-
-func (crs *blameCrash) hasStarted() bool {
-	return slices.ContainsFunc(crs.reports, func(rep PartCrash) bool { return rep.Started })
-}
-
-// candidates returns the crashes by part that may be at fault for them: first the parts of requests that are blamed
-// before their other parts, unproven all parts without an event since the crash.
-func (bla *Blame) candidates() (first, unproven map[string]map[*blameCrash]bool) {
-	first, unproven = map[string]map[*blameCrash]bool{}, map[string]map[*blameCrash]bool{}
-	for _, crs := range bla.crashes {
-		begun := crs.hasBegun() || crs.hasStarted()
-		for _, rep := range crs.reports {
-			// If the endpoint had begun to answer a request, the requests that waited there are not at fault.
-			if (rep.Begun || rep.Started) != begun {
-				continue
-			}
-			neverSent := slices.ContainsFunc(rep.Parts, func(part string) bool { return bla.soundAt(part).IsZero() })
-			for _, part := range rep.Parts {
-				at := bla.soundAt(part)
-				if at.After(crs.at) {
-					continue
-				}
-				add(unproven, part, crs)
-				if at.IsZero() || !neverSent {
-					add(first, part, crs)
-				}
-			}
-		}
-	}
-	return first, unproven
-}
-
-func add(sets map[string]map[*blameCrash]bool, part string, crs *blameCrash) {
-	if sets[part] == nil {
-		sets[part] = map[*blameCrash]bool{}
-	}
-	sets[part][crs] = true
-}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -44,8 +44,8 @@
 	Usage map[string]dispatch.Usage `json:"usage,omitempty"`
 	// Crashes are requests that crashed endpoints.
 	Crashes []Crash `json:"crashes,omitempty"`
-	// SoundParts are blamed parts of prompts that are known to be sound.
-	SoundParts SoundParts `json:"soundParts,omitempty"`
+	// Survivals show which of the parts of prompts in Crashes are sound.
+	Survivals Survivals `json:"survivals,omitempty"`
 	// Leaving has the start times of endpoints that leave, by id.
 	Leaving map[string]int64 `json:"leaving,omitempty"`
 	// LeavingSum is a hash of the endpoints that leave. Gossip carries it in place of Leaving.
@@ -69,17 +69,35 @@
 	StartedAt int64 `json:"startedAt,omitempty"`
 	// AgeMS is the time since the crash in ms.
 	AgeMS int64 `json:"ageMs"`
-	// Parts are the parts of the request's prompt that other requests may have in common with it. They are empty if the
-	// request had its first event well before the crash.
+	// Parts are the parts of the request's prompt that other requests may have in common with it.
 	Parts []string `json:"parts,omitempty"`
-	// Begun is true if the endpoint had just begun to answer the request and had sent no event, Started if it had just sent the
-	// first events.
+	// Begun is true if the endpoint had begun to answer the request and had sent no event, Started if it had sent events.
 	Begun   bool `json:"begun,omitempty"`
 	Started bool `json:"started,omitempty"`
+	// AnswerMS is the time from the start of the answer to the crash in ms.
+	AnswerMS int64 `json:"answerMs,omitempty"`
+	// Ended is true if the answer had ended before the crash, Trial if the request ran to show which part is at fault.
+	Ended bool `json:"ended,omitempty"`
+	Trial bool `json:"trial,omitempty"`
 }
 
-// SoundParts has the time since the latest event of a request with a part, in ms, by the part's id.
-type SoundParts map[string]int64
+// Survival is a run of a request whose endpoint has not crashed. Without an endpoint, it states that a part was sound.
+type Survival struct {
+	Endpoint  string `json:"endpoint,omitempty"`
+	StartedAt int64  `json:"startedAt,omitempty"`
+	// Digest identifies the request, and Parts are as in Crash.
+	Digest uint64   `json:"digest,omitempty,string"`
+	Parts  []string `json:"parts"`
+	// AgeMS is the time since the start of the answer in ms, and LastedMS the time from then to the latest event.
+	AgeMS    int64 `json:"ageMs"`
+	LastedMS int64 `json:"lastedMs"`
+	// Whole is true if the answer has ended whole, Settled if that was long ago.
+	Whole   bool `json:"whole,omitempty"`
+	Settled bool `json:"settled,omitempty"`
+}
+
+// Survivals are the runs in one message.
+type Survivals []Survival
 
 // Requests is the state of the requests that this daemon serves, as far as other daemons need it.
 type Requests interface {
@@ -93,9 +111,9 @@
 	// Crashes returns recent crashes, NoteCrash records one.
 	Crashes(now time.Time) []Crash
 	NoteCrash(found Crash)
-	// SoundParts returns the parts in Crashes that are known to be sound, NoteSoundParts records some.
-	SoundParts(now time.Time) SoundParts
-	NoteSoundParts(parts SoundParts)
+	// Survivals returns runs that show which parts in Crashes are sound, NoteSurvivals records some.
+	Survivals(now time.Time) Survivals
+	NoteSurvivals(runs Survivals)
 	// GrantPermit answers a daemon that asks for a permit.
 	GrantPermit(req *PermitRequest) *PermitReply
 	// NoteLimit records an endpoint's limit, and reports whether to announce it to other daemons.
@@ -178,8 +196,8 @@
 		exc.Requests.NoteCrash(*found)
 		return nil
 	})
-	exc.broadcasts[soundMethod] = answer(func(_ context.Context, parts *SoundParts) any {
-		exc.Requests.NoteSoundParts(*parts)
+	exc.broadcasts[survivalMethod] = answer(func(_ context.Context, runs *Survivals) any {
+		exc.Requests.NoteSurvivals(*runs)
 		return nil
 	})
 	exc.broadcasts[topicMethod] = answer(func(_ context.Context, part *TopicPart) any {
@@ -244,7 +262,7 @@
 	leaving := exc.leaving(snp)
 	msg := &message{
 		Name: exc.Name, Address: exc.Address, FailureDomain: exc.FailureDomain, Draining: exc.Requests.Draining(),
-		Crashes: exc.Requests.Crashes(exc.Now()), SoundParts: exc.Requests.SoundParts(exc.Now()), Version: snp.Version(), LeavingSum: leavingSum(leaving),
+		Crashes: exc.Requests.Crashes(exc.Now()), Survivals: exc.Requests.Survivals(exc.Now()), Version: snp.Version(), LeavingSum: leavingSum(leaving),
 	}
 	// In a larger fleet, a neighbour rarely uses the same engines.
 	if len(exc.Members()) <= engineUsers {
@@ -309,7 +327,7 @@
 func (exc *Exchange) receive(ctx context.Context, msg *message) *messageReply {
 	exc.heard(msg.Name)
 	exc.Requests.SetPeerUsage(exc.Now(), msg.Name, msg.Usage)
-	exc.Requests.NoteSoundParts(msg.SoundParts)
+	exc.Requests.NoteSurvivals(msg.Survivals)
 	for _, found := range msg.Crashes {
 		exc.Requests.NoteCrash(found)
 	}
--- a/exchange/fleet_test.go
+++ b/exchange/fleet_test.go
@@ -433,8 +433,8 @@
 func (idleRequests) UsageAt(string) dispatch.Usage                             { return dispatch.Usage{Flights: 1, Tokens: 4000} }
 func (idleRequests) SetPeerUsage(time.Time, string, map[string]dispatch.Usage) {}
 func (idleRequests) Crashes(time.Time) []exchange.Crash                        { return nil }
-func (idleRequests) SoundParts(time.Time) exchange.SoundParts                  { return nil }
-func (idleRequests) NoteSoundParts(exchange.SoundParts)                        {}
+func (idleRequests) Survivals(time.Time) exchange.Survivals                    { return nil }
+func (idleRequests) NoteSurvivals(exchange.Survivals)                          {}
 func (idleRequests) GrantPermit(*exchange.PermitRequest) *exchange.PermitReply { return nil }
 func (idleRequests) NoteLimit(*exchange.EndpointLimit) bool                    { return false }
 func (idleRequests) NoteCrash(exchange.Crash)                                  {}
--- a/exchange/notices.go
+++ b/exchange/notices.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	workMethod  = "gateway.work"
-	topicMethod = "gateway.topic"
-	crashMethod = "gateway.crash"
-	soundMethod = "gateway.sound"
+	workMethod     = "gateway.work"
+	topicMethod    = "gateway.topic"
+	crashMethod    = "gateway.crash"
+	survivalMethod = "gateway.survival"
 	// leavingMethod announces endpoints that reported themselves that they leave. Leaving that follows from an entry in
 	// the store is not announced: it reaches all daemons with the topic.
 	leavingMethod = "gateway.leaving"
@@ -30,9 +30,9 @@
 	exc.broadcast(context.Background(), crashMethod, found)
 }
 
-// ShareSoundParts tells all peers that blamed parts of prompts are sound.
-func (exc *Exchange) ShareSoundParts(parts SoundParts) {
-	exc.broadcast(context.Background(), soundMethod, parts)
+// ShareSurvivals tells all peers of runs that show that blamed parts of prompts are sound.
+func (exc *Exchange) ShareSurvivals(runs Survivals) {
+	exc.broadcast(context.Background(), survivalMethod, runs)
 }
 
 // ShareLeaving tells all peers that endpoints leave; bornAt has the start time of each by id.
--- a/exchange/work_test.go
+++ b/exchange/work_test.go
@@ -31,8 +31,8 @@
 	return dispatch.Usage{Flights: 1, Tokens: 4000}
 }
 func (*steadyRequests) Crashes(time.Time) []exchange.Crash                        { return nil }
-func (*steadyRequests) SoundParts(time.Time) exchange.SoundParts                  { return nil }
-func (*steadyRequests) NoteSoundParts(exchange.SoundParts)                        {}
+func (*steadyRequests) Survivals(time.Time) exchange.Survivals                    { return nil }
+func (*steadyRequests) NoteSurvivals(exchange.Survivals)                          {}
 func (*steadyRequests) GrantPermit(*exchange.PermitRequest) *exchange.PermitReply { return nil }
 func (*steadyRequests) NoteLimit(*exchange.EndpointLimit) bool                    { return false }
 func (*steadyRequests) NoteCrash(exchange.Crash)                                  {}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,11 +25,10 @@
 	maxSharedCrashes = 8
 	// condemnedRetry is the Retry-After of requests that are refused because they crashed several endpoints.
 	condemnedRetry = 30 * time.Second
-	// begunTime is how long after the head of its answer, or after its first event, a stream counts as just begun. One that
-	// goes on for longer has not crashed its engine.
-	begunTime = 250 * time.Millisecond
-	// maxSoundDelay is the longest delay before a daemon tells the others that blamed parts are sound.
-	maxSoundDelay = 250 * time.Millisecond
+	// maxSurvivalDelay is the longest delay before a daemon tells the others of runs that show that blamed parts are sound.
+	maxSurvivalDelay = 250 * time.Millisecond
+	// maxSharedSurvivals limits the runs in one message.
+	maxSharedSurvivals = 16
 	// maxSharedParts limits the parts of a prompt that crashes are blamed on, maxPartBytes the length of a part's id.
 	maxSharedParts = 32
 	maxPartBytes   = 64
@@ -37,9 +38,8 @@
 type interruption struct {
 	// events is the number of events that had arrived.
 	events int
-	// begun is true if the endpoint had just begun to answer: it had sent the head, or the first events, less than begunTime
-	// before.
-	begun bool
+	// beganAt is when the head of the answer arrived; zero if none did.
+	beganAt time.Time
 }
 
 // digest returns a hash of the parts of a request that stay the same when its caller retries it.
@@ -93,62 +93,144 @@
 		crashed <- false
 		return crashed
 	}
-	found := exchange.Crash{
-		Digest: rqs.digest(), Endpoint: edp.ID, StartedAt: edp.StartedAt,
-		Begun: end.begun && end.events == 0, Started: end.begun && end.events > 0,
-	}
-	if end.events == 0 || end.begun {
-		found.Parts = sharedParts(rqs.Parts)
-	}
 	broken := srv.Now()
+	found := exchange.Crash{Digest: rqs.digest(), Endpoint: edp.ID, StartedAt: edp.StartedAt, Parts: sharedParts(rqs.Parts), Trial: rqs.trial}
+	if !end.beganAt.IsZero() {
+		found.Begun, found.Started, found.AnswerMS = end.events == 0, end.events > 0, broken.Sub(end.beganAt).Milliseconds()
+	}
 	go func() {
 		time.Sleep(crashCheckDelay)
-		con, err := net.DialTimeout("tcp", edp.Address, dialTimeout)
+		err := srv.checkAlive(edp)
 		crashed <- err != nil
 		if err == nil {
-			_ = con.Close()
 			return
 		}
-		rqs.logger.WithFields(logrus.Fields{fieldEndpoint: edp.ID, "parts": partIDs(rqs.Parts), fieldEvents: end.events, "begun": end.begun}).
-			WithError(err).Warn("endpoint crashed while it ran the request")
+		rqs.logger.WithFields(logrus.Fields{
+			fieldEndpoint: edp.ID, "parts": partIDs(rqs.Parts), fieldEvents: end.events, "begun": found.Begun, "answerMs": found.AnswerMS,
+		}).WithError(err).Warn("endpoint crashed while it ran the request")
 		found.AgeMS = srv.Now().Sub(broken).Milliseconds()
-		srv.NoteCrash(found)
-		if srv.OnCrash != nil {
-			srv.OnCrash(found)
-		}
+		srv.shareCrash(found)
 	}()
 	return crashed
 }
 
+// shareCrash records a crash and tells the other daemons.
+func (srv *Server) shareCrash(found exchange.Crash) {
+	srv.NoteCrash(found)
+	if srv.OnCrash != nil {
+		srv.OnCrash(found)
+	}
+}
+
+func (srv *Server) breakExposure(exp *dispatch.Exposure) {
+	if exp == nil {
+		return
+	}
+	srv.mutex.Lock()
+	defer srv.mutex.Unlock()
+	srv.Blame.Break(exp)
+}
+
+var errStartedAgain = errors.New("the endpoint has started again")
+
+// checkAlive returns an error if an endpoint accepts no connections, or if it has started again: the check may be late.
+func (srv *Server) checkAlive(edp *catalog.Endpoint) error {
+	con, err := net.DialTimeout("tcp", edp.Address, dialTimeout)
+	if err != nil {
+		return err
+	}
+	_ = con.Close()
+	if edp.StartedAt == 0 || srv.Snapshots.Snapshot().Catalog.Services[edp.Service].Engine == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	rpt, err := srv.Engines.Report(ctx, edp.Address)
+	if err == nil && rpt.StartedAt != 0 && rpt.StartedAt != edp.StartedAt {
+		return errStartedAgain
+	}
+	return nil
+}
+
+// awaitCrash waits for the result of checkCrash if a request may be sent to another endpoint: it would probably crash that
+// one too. It does not wait if all parts of the request's prompt are known to be sound.
+func (srv *Server) awaitCrash(rqs *request, crashed <-chan bool) bool {
+	return rqs.route.Repeatable() && !srv.isKnownSound(rqs) && <-crashed
+}
+
+// noteRefused records the crash of an endpoint that takes no connections any more, if answers of it had ended before.
+func (srv *Server) noteRefused(edp *catalog.Endpoint, err error) {
+	_, leaving := srv.Snapshots.Snapshot().Fleet.Leaving[edp.ID]
+	if leaving || !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	incarnation := dispatch.Incarnation{Endpoint: edp.ID, StartedAt: edp.StartedAt}
+	srv.mutex.Lock()
+	now := srv.Now()
+	ended := srv.Blame.Crashed(now, now, dispatch.PartCrash{Incarnation: incarnation})
+	srv.mutex.Unlock()
+	srv.shareEnded(now, now, ended)
+}
+
+// beginExposure records that an endpoint begins to answer a request whose prompt may have parts that crash endpoints; it
+// returns nil for other requests.
+func (srv *Server) beginExposure(rqs *request, edp *catalog.Endpoint) *dispatch.Exposure {
+	parts := sharedParts(rqs.Parts)
+	if len(parts) == 0 {
+		return nil
+	}
+	srv.mutex.Lock()
+	defer srv.mutex.Unlock()
+	return srv.Blame.Begin(srv.Now(), dispatch.Incarnation{Endpoint: edp.ID, StartedAt: edp.StartedAt}, rqs.digest(), parts)
+}
+
+// endExposure records the end of the answer; whole is true if it was complete.
+func (srv *Server) endExposure(exp *dispatch.Exposure, whole bool) {
+	if exp == nil {
+		return
+	}
+	srv.mutex.Lock()
+	clears := srv.Blame.End(srv.Now(), exp, whole)
+	srv.mutex.Unlock()
+	if clears {
+		srv.shareSurvivals()
+	}
+}
+
 // noteEvents records that events arrived from the engine, for the search for parts that crash engines.
 func (one *run) noteEvents(now time.Time) {
 	if !one.hasEvent {
-		one.hasEvent, one.beganAt = true, now
+		one.hasEvent = true
 		one.server.setBeginning(one, false)
 	}
-	if !one.sound && now.Sub(one.beganAt) >= begunTime {
-		one.noteSound(now)
+	if one.exposure != nil {
+		one.server.mutex.Lock()
+		one.exposure.HeardAt = now
+		one.server.mutex.Unlock()
 	}
 }
 
-func (one *run) noteSound(now time.Time) {
-	one.sound = true
-	one.server.noteSound(now, one.beganAt, one.request)
+// checkBroken starts the check whether the engine has crashed in the middle of its answer.
+func (one *run) checkBroken(ctx context.Context) <-chan bool {
+	one.server.breakExposure(one.exposure)
+	end := interruption{beganAt: one.beganAt}
+	if one.hasEvent {
+		end.events = one.events
+	}
+	return one.server.checkCrash(ctx, one.request, one.endpoint, end)
 }
 
-// hasCrashed starts the check whether the engine of an interrupted stream has crashed. If the engine had just begun to
-// answer, it waits for the result: another engine would probably crash too. It does not wait once an event of a request
-// has arrived whose parts are all known to be sound.
+// hasCrashed starts the check whether the engine of an interrupted stream has crashed, and returns its result if the stream
+// must not be sent to another engine in this case.
 func (one *run) hasCrashed(ctx context.Context) bool {
 	if one.isMoving() {
 		return false
 	}
-	begun := one.server.Now().Sub(one.beganAt) < begunTime
-	crashed := one.server.checkCrash(ctx, one.request, one.endpoint, interruption{events: one.events, begun: begun})
-	if !begun || !one.route.Repeatable() || one.events > 0 && one.server.isKnownSound(one.request) {
-		return false
+	crashed := one.checkBroken(ctx)
+	if !one.hasEvent {
+		return one.route.Repeatable() && <-crashed
 	}
-	return <-crashed
+	return one.server.awaitCrash(one.request, crashed)
 }
 
 // partIDs returns the ids of the parts of a prompt, for logs.
@@ -163,21 +245,52 @@
 // NoteCrash records that a request crashed an endpoint.
 func (srv *Server) NoteCrash(found exchange.Crash) {
 	now := srv.Now()
-	srv.mutex.Lock()
+	at := now.Add(-milliseconds(found.AgeMS))
 	incarnation := dispatch.Incarnation{Endpoint: found.Endpoint, StartedAt: found.StartedAt}
-	if srv.Suspects.Crashed(now, found.Digest, incarnation) {
+	srv.mutex.Lock()
+	if !found.Ended && srv.Suspects.Crashed(now, found.Digest, incarnation) {
 		srv.Balancer.Failed(now, found.Endpoint, true)
 	}
-	condemned := srv.Blame.Crashed(now, now.Add(-milliseconds(found.AgeMS)), dispatch.PartCrash{
-		Incarnation: incarnation, Digest: found.Digest, Parts: found.Parts, Begun: found.Begun, Started: found.Started,
+	ended := srv.Blame.Crashed(now, at, dispatch.PartCrash{
+		Incarnation: incarnation, Digest: found.Digest, Parts: found.Parts, Begun: found.Begun, Started: found.Started, Age: milliseconds(found.AnswerMS), Trial: found.Trial,
 	})
+	srv.mutex.Unlock()
+	srv.updateBlame()
+	srv.shareEnded(now, at, ended)
+	if len(found.Parts) > 0 {
+		srv.shareSurvivals()
+	}
+}
+
+// shareEnded tells the other daemons of requests that a crashed endpoint had answered.
+func (srv *Server) shareEnded(now, at time.Time, ended []dispatch.PartCrash) {
+	for _, rep := range ended {
+		found := inCrash(now, at, rep)
+		found.Ended = true
+		if srv.OnCrash != nil {
+			srv.OnCrash(found)
+		}
+	}
+}
+
+func inCrash(now, at time.Time, rep dispatch.PartCrash) exchange.Crash {
+	return exchange.Crash{
+		Digest: rep.Digest, Endpoint: rep.Endpoint, StartedAt: rep.StartedAt, AgeMS: now.Sub(at).Milliseconds(),
+		Parts: rep.Parts, Begun: rep.Begun, Started: rep.Started, AnswerMS: rep.Age.Milliseconds(), Trial: rep.Trial,
+	}
+}
+
+// updateBlame determines the parts with which requests are refused, and ends those that wait for an answer.
+func (srv *Server) updateBlame() {
+	srv.mutex.Lock()
+	condemned, lifted := srv.Blame.Changes(srv.Now())
 	ended := srv.endBeginning(condemned)
 	srv.mutex.Unlock()
 	if len(condemned) > 0 {
-		srv.Logger.WithFields(logrus.Fields{"parts": condemned, fieldEndpoint: found.Endpoint, "ended": ended}).Warn("requests with these parts of a prompt are refused: they crash endpoints")
+		srv.Logger.WithFields(logrus.Fields{"parts": condemned, "ended": ended}).Warn("requests with these parts of a prompt are refused: they crash endpoints")
 	}
-	if len(found.Parts) > 0 {
-		srv.shareSound()
+	if len(lifted) > 0 {
+		srv.Logger.WithField("parts", lifted).Info("requests with these parts of a prompt are no longer refused")
 	}
 }
 
@@ -212,12 +325,9 @@
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
 	var found []exchange.Crash
-	for at, rep := range srv.Blame.Crashes() {
+	for at, rep := range srv.Blame.Crashes(now) {
 		if len(found) < maxSharedCrashes {
-			found = append(found, exchange.Crash{
-				Digest: rep.Digest, Endpoint: rep.Endpoint, StartedAt: rep.StartedAt, AgeMS: now.Sub(at).Milliseconds(),
-				Parts: rep.Parts, Begun: rep.Begun, Started: rep.Started,
-			})
+			found = append(found, inCrash(now, at, rep))
 		}
 	}
 	srv.Suspects.Each(now, func(digest uint64, endpoint dispatch.Incarnation) {
@@ -231,16 +341,6 @@
 	return found
 }
 
-// noteSound records that an engine that began to produce events of a request at the time at has not crashed since.
-func (srv *Server) noteSound(now, at time.Time, rqs *request) {
-	srv.mutex.Lock()
-	blamed := srv.Blame.Sound(now, at, sharedParts(rqs.Parts))
-	srv.mutex.Unlock()
-	if blamed {
-		srv.shareSound()
-	}
-}
-
 // isKnownSound reports whether all shared parts of a request's prompt have been in requests that crashed no engine.
 func (srv *Server) isKnownSound(rqs *request) bool {
 	srv.mutex.Lock()
@@ -248,55 +348,56 @@
 	return srv.Blame.IsKnownSound(sharedParts(rqs.Parts))
 }
 
-// SoundParts returns what is known of the soundness of the parts in Crashes.
-func (srv *Server) SoundParts(now time.Time) exchange.SoundParts {
-	var parts []string
-	for _, found := range srv.Crashes(now) {
-		parts = append(parts, found.Parts...)
-	}
+// Survivals returns runs that show which parts in Crashes are sound.
+func (srv *Server) Survivals(now time.Time) exchange.Survivals {
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
-	return inMilliseconds(srv.Blame.SoundAges(now, parts))
+	return inSurvivals(now, srv.Blame.Refuting(now, false))
 }
 
-// NoteSoundParts records what a peer knows of the soundness of parts.
-func (srv *Server) NoteSoundParts(parts exchange.SoundParts) {
+// NoteSurvivals records runs that a peer has observed.
+func (srv *Server) NoteSurvivals(runs exchange.Survivals) {
 	now := srv.Now()
+	var all []dispatch.Exposure
+	for _, run := range runs {
+		all = append(all, dispatch.Exposure{
+			Incarnation: dispatch.Incarnation{Endpoint: run.Endpoint, StartedAt: run.StartedAt}, Digest: run.Digest, Parts: run.Parts,
+			BeganAt: now.Add(-milliseconds(run.AgeMS)), HeardAt: now.Add(-milliseconds(run.AgeMS - run.LastedMS)), Whole: run.Whole, Settled: run.Settled,
+		})
+	}
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
-	for id, age := range parts {
-		srv.Blame.Sound(now, now.Add(-milliseconds(age)), []string{id})
-		srv.Blame.Shared(now, map[string]time.Duration{id: milliseconds(age)})
-	}
+	srv.Blame.Survived(now, all)
 }
 
-// shareSound tells the other daemons which blamed parts are sound. It waits for a random time, so that one of the
-// daemons that know it comes before most of the others.
-func (srv *Server) shareSound() {
-	if srv.OnSoundParts == nil || !srv.sharing.CompareAndSwap(false, true) {
+// shareSurvivals tells the other daemons which blamed parts are sound. It waits until runs that began before the crash have
+// lasted longer than the ones that are blamed, and then for a random time, so that one of the daemons that know it comes
+// before most of the others.
+func (srv *Server) shareSurvivals() {
+	if srv.OnSurvivals == nil || !srv.sharing.CompareAndSwap(false, true) {
 		return
 	}
-	time.AfterFunc(rand.N(maxSoundDelay), func() {
+	time.AfterFunc(dispatch.SurvivalMargin+rand.N(maxSurvivalDelay), func() {
 		srv.sharing.Store(false)
 		now := srv.Now()
 		srv.mutex.Lock()
-		news := inMilliseconds(srv.Blame.News(now))
+		news := inSurvivals(now, srv.Blame.Refuting(now, true))
 		srv.mutex.Unlock()
 		if len(news) > 0 {
-			srv.OnSoundParts(news)
+			srv.OnSurvivals(news)
 		}
 	})
 }
 
-func inMilliseconds(ages map[string]time.Duration) exchange.SoundParts {
-	if len(ages) == 0 {
-		return nil
-	}
-	parts := exchange.SoundParts{}
-	for id, age := range ages {
-		parts[id] = age.Milliseconds()
+func inSurvivals(now time.Time, runs []dispatch.Exposure) exchange.Survivals {
+	var all exchange.Survivals
+	for _, run := range runs[:min(len(runs), maxSharedSurvivals)] {
+		all = append(all, exchange.Survival{
+			Endpoint: run.Endpoint, StartedAt: run.StartedAt, Digest: run.Digest, Parts: run.Parts,
+			AgeMS: now.Sub(run.BeganAt).Milliseconds(), LastedMS: run.HeardAt.Sub(run.BeganAt).Milliseconds(), Whole: run.Whole, Settled: run.Settled,
+		})
 	}
-	return parts
+	return all
 }
 
 func milliseconds(count int64) time.Duration {
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -126,7 +126,7 @@
 	dmn.Exchange.FailureDomain = set.FailureDomain
 	srv.HasNeighbour = dmn.Exchange.HasNeighbour
 	srv.OwnEngines = dmn.Exchange.OwnEngines
-	srv.OnCrash, srv.OnSoundParts = dmn.Exchange.ShareCrash, dmn.Exchange.ShareSoundParts
+	srv.OnCrash, srv.OnSurvivals = dmn.Exchange.ShareCrash, dmn.Exchange.ShareSurvivals
 	srv.OnWork = dmn.Exchange.WorkChanged
 	srv.OnLeaving = func(id string, bornAt int64) { go dmn.markLeaving(id, bornAt) }
 	srv.AskPermit, srv.OnLimit = dmn.Exchange.AskPermit, dmn.Exchange.ShareLimit
@@ -135,11 +135,11 @@
 	dmn.Control.OnLeaving = srv.EndpointLeaves
 	dmn.Control.OnTick = func(snp *control.Snapshot) {
 		dmn.Exchange.ShareEngines(snp)
+		srv.updateBlame()
 		srv.mutex.Lock()
 		defer srv.mutex.Unlock()
 		srv.Budget.Daemons = len(dmn.Exchange.Members())
 		srv.Balancer.Forget(srv.Now(), snp.Fleet)
-		srv.Blame.Forget(srv.Now())
 		srv.Throttle.Forget(srv.Now())
 		srv.Permits.Forget(srv.Now())
 	}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -60,6 +60,8 @@
 	// Leaves is true if the engine reports that it is going to stop; LeavesIn is the time until then.
 	Leaves   bool
 	LeavesIn time.Duration
+	// StartedAt is the engine's start time; 0 if it is not stated.
+	StartedAt int64
 }
 
 // Engines is the client for the control API of model engines.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -134,7 +134,7 @@
 	if res != outcomeNotRun && !rqs.route.Repeatable() {
 		return false
 	}
-	return ctx.Err() == nil && rqs.sends < srv.attempts(rqs, res) && srv.spend(rqs)
+	return ctx.Err() == nil && !rqs.crashed && rqs.sends < srv.attempts(rqs, res) && srv.spend(rqs)
 }
 
 func (srv *Server) logSend(rqs *request, cho *dispatch.Choice, res outcome, status int, err error) {
@@ -184,12 +184,13 @@
 	srv.noteSendError(ctx, edp.ID, err)
 	var sendErr *SendError
 	if errors.As(err, &sendErr) && !sendErr.Sent {
+		srv.noteRefused(edp, err)
 		return nil, outcomeUnreached, err
 	}
 	rqs.sends++
 	if err != nil {
 		if !srv.noteLimit(err) {
-			srv.checkCrash(ctx, rqs, edp, interruption{})
+			rqs.crashed = srv.awaitCrash(rqs, srv.checkCrash(ctx, rqs, edp, interruption{}))
 		}
 		return nil, outcomeUnknown, err
 	}
@@ -200,11 +201,13 @@
 		srv.noteAnswer(edp.ID, ans, false)
 		return nil, outcomeNotRun, nil
 	}
+	exposure, began := srv.beginExposure(rqs, edp), srv.Now()
 	body, err := srv.buffers.readAnswer(lnk.Response)
 	if err == nil {
+		srv.endExposure(exposure, true)
 		err = checkAnswer(rqs, ans)
-	} else if !srv.noteLimit(err) {
-		srv.checkCrash(ctx, rqs, edp, interruption{})
+	} else if srv.breakExposure(exposure); !srv.noteLimit(err) {
+		rqs.crashed = srv.awaitCrash(rqs, srv.checkCrash(ctx, rqs, edp, interruption{beganAt: began}))
 	}
 	srv.noteAnswer(edp.ID, ans, err == nil && lnk.Response.StatusCode < 500)
 	if err != nil {
--- a/gateway/scenario_prompt_test.go
+++ b/gateway/scenario_prompt_test.go
@@ -1,14 +1,19 @@
 package gateway_test
 
+import "papayacroft/standin"
+
 // runPrompt runs commands for prompts that crash engines; it returns false for other commands.
 func (sit *site) runPrompt(args []string) bool {
 	switch args[0] {
-	case "deadly": // deadly PART [EVENTS]: from now on, a request with this part in its prompt crashes each engine that begins to answer it, after so many events
-		events := 0
+	case "deadly": // deadly PART [EVENTS [FORM]]: from now on, a request with this part in its prompt crashes each engine that begins to answer it, after so many events
+		dly := standin.DeadlyPart{ID: args[1]}
 		if len(args) > 2 {
-			events = sit.number(args[2])
+			dly.Events = sit.number(args[2])
+		}
+		if len(args) > 3 {
+			dly.Form = standin.DeadlyForm(args[3])
 		}
-		sit.pool.SetDeadlyPart(args[1], events)
+		sit.pool.SetDeadlyPart(dly)
 	case "prompt": // prompt NAME DAEMON ROUTE EVENTS PARTS: starts a request for a stream whose prompt has these parts
 		sit.startPrompt(args[1], args[2], "/"+args[3]+"/x?events="+args[4], args[5], nil)
 	case "finished": // finished CALL: waits until the call has ended in any way
--- a/gateway/scenario_start_test.go
+++ b/gateway/scenario_start_test.go
@@ -24,6 +24,7 @@
 func (sit *site) startEngine(args []string) {
 	sit.born++
 	edp := &siteEndpoint{SiteEngine: standin.NewSiteEngine(args[0]), service: args[1], domain: args[2], born: sit.born}
+	edp.Born = sit.born
 	for i := 3; i+1 < len(args); i += 2 {
 		switch args[i] {
 		case "copy":
@@ -51,6 +52,7 @@
 	edp := sit.engines[id]
 	edp.born, edp.beats = sit.born, 0
 	other := &siteEndpoint{SiteEngine: standin.NewSiteEngine(id), server: edp.server}
+	other.Born, other.Site = sit.born, edp.Site
 	edp.answering.Store(other.SiteEngine)
 	sit.engines[name] = other
 	sit.beat(id, "ready")
@@ -131,6 +133,7 @@
 		{"name": "again", "kind": "idempotent", "service": "desk", "maxAttempts": 2, "timeoutMs": 2000, "targetLatencyMs": 500},
 		{"name": "long", "kind": "stream", "service": "pool", "maxAttempts": 1, "timeoutMs": 30000, "targetLatencyMs": 3000},
 		{"name": "short", "kind": "stream", "service": "pool", "maxAttempts": 2, "timeoutMs": 30000, "targetLatencyMs": 3000, "resumable": true},
+		{"name": "check", "kind": "idempotent", "service": "pool", "maxAttempts": 2, "timeoutMs": 2000, "targetLatencyMs": 500},
 		{"name": "open", "kind": "idempotent", "service": "desk", "maxAttempts": 2, "timeoutMs": 2000, "targetLatencyMs": 500, "public": true},
 	} {
 		name := rou["name"].(string)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -77,8 +77,8 @@
 	Now     func() time.Time
 	// OnCrash, if set, is called when a request has crashed an endpoint.
 	OnCrash func(found exchange.Crash)
-	// OnSoundParts, if set, is called with blamed parts of prompts that are sound, which other daemons may not know.
-	OnSoundParts func(parts exchange.SoundParts)
+	// OnSurvivals, if set, is called with runs that show that blamed parts of prompts are sound, which other daemons may not know.
+	OnSurvivals func(runs exchange.Survivals)
 	// DrainNotice is the time from the stop signal to the end of the process.
 	DrainNotice time.Duration
 	// HasNeighbour, if set, reports whether another daemon of the same failure domain accepts requests.
@@ -99,7 +99,7 @@
 	buffers       bufferPool
 	// beginning holds the streams that have been sent to an engine and have had no event; the mutex guards it.
 	beginning map[*run]bool
-	// sharing is true while a call of OnSoundParts is due.
+	// sharing is true while a call of OnSurvivals is due.
 	sharing atomic.Bool
 }
 
@@ -128,6 +128,8 @@
 	logger       logrus.FieldLogger
 	excluded     map[string]bool
 	sends        int
+	// crashed is true if the request has crashed an endpoint and must not be sent to another one.
+	crashed bool
 	// trial is true if the request runs to show whether a part of its prompt crashes endpoints.
 	trial bool
 	// prepaid is true if a retry was taken from the budget before the silent endpoint was given up.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -43,10 +43,11 @@
 	link     *Link
 	flight   *dispatch.Flight
 	endpoint *catalog.Endpoint
-	// beganAt is when the engine began to answer: when its head arrived, and then when its first event did. hasEvent is true
-	// from that event on, and sound is true once the engine has not crashed for begunTime since.
-	beganAt         time.Time
-	hasEvent, sound bool
+	// beganAt is when the head of the engine's answer arrived. hasEvent is true from its first event on.
+	beganAt  time.Time
+	hasEvent bool
+	// exposure is the engine's run in the search for parts that crash engines; nil if the prompt has no shared parts.
+	exposure *dispatch.Exposure
 	// header is true once the response head was written to the caller.
 	header bool
 	// firstAt and lastAt are the times of the first and the latest event; pause is the longest gap between two events.
@@ -130,7 +131,7 @@
 	}
 	switch {
 	case one.link != nil:
-		return one.checkHead()
+		return one.checkHead(ctx)
 	case trs.answer != nil:
 		return one.server.relayAnswer(one.writer, one.request, trs.answer)
 	}
@@ -153,7 +154,7 @@
 		status = one.link.Response.StatusCode
 	}
 	if status >= http.StatusInternalServerError {
-		res, err = one.readFailure(trs)
+		res, err = one.readFailure(ctx, trs)
 	}
 	one.server.logSend(one.request, &cho, res, status, err)
 	if res == outcomeAnswered && status < http.StatusInternalServerError {
@@ -164,13 +165,17 @@
 
 // readFailure reads an engine's 5xx answer, which is relayed to the caller if no other engine succeeds. The outcome is
 // unknown if the answer breaks off: there is nothing to relay, but the request has run.
-func (one *run) readFailure(trs *tries) (outcome, error) {
+func (one *run) readFailure(ctx context.Context, trs *tries) (outcome, error) {
 	res := one.link.Response
 	body, err := one.server.buffers.readAnswer(res)
+	if err == nil {
+		one.server.endExposure(one.exposure, true)
+	} else if !one.server.noteLimit(err) {
+		one.crashed = one.server.awaitCrash(one.request, one.checkBroken(ctx))
+	}
 	one.detach()
 	one.link = nil
 	if err != nil {
-		one.server.noteLimit(err)
 		return outcomeUnknown, err
 	}
 	trs.keep(&plainAnswer{response: res, body: body})
@@ -203,11 +208,12 @@
 		srv.end(flt)
 		srv.noteSendError(ctx, edp.ID, err)
 		if !sendErr.Sent {
+			srv.noteRefused(edp, err)
 			return outcomeUnreached, err
 		}
 		rqs.sends++
 		if !srv.noteLimit(err) {
-			srv.checkCrash(ctx, rqs, edp, interruption{events: one.events})
+			rqs.crashed = srv.awaitCrash(rqs, srv.checkCrash(ctx, rqs, edp, interruption{}))
 		}
 		return outcomeUnknown, err
 	}
@@ -220,28 +226,34 @@
 		lnk.Close()
 		return outcomeNotRun, nil
 	}
+	exposure := srv.beginExposure(rqs, edp)
 	if err := checkAnswer(rqs, ans); err != nil {
+		srv.endExposure(exposure, false)
 		srv.end(flt)
 		lnk.Close()
 		return outcomeUnknown, err
 	}
 	one.link, one.endpoint, one.flight = lnk, edp, flt
-	one.beganAt, one.hasEvent, one.sound = srv.Now(), false, false
+	one.beganAt, one.hasEvent, one.exposure = srv.Now(), false, exposure
 	srv.streams.add(one)
 	return outcomeAnswered, nil
 }
 
 // checkHead relays an answer whose status is not 200 as a plain answer; it does nothing if the answer is a stream.
-func (one *run) checkHead() *refusal {
+func (one *run) checkHead(ctx context.Context) *refusal {
 	res := one.link.Response
 	if res.StatusCode == http.StatusOK {
 		return nil
 	}
 	defer one.detach()
 	body, err := one.server.buffers.readAnswer(res)
+	if err == nil {
+		one.server.endExposure(one.exposure, true)
+	} else if !one.server.noteLimit(err) {
+		one.checkBroken(ctx)
+	}
 	one.link = nil
 	if err != nil {
-		one.server.noteLimit(err)
 		return failed("the engine's answer broke off: %v", err)
 	}
 	return one.server.relayAnswer(one.writer, one.request, &plainAnswer{response: res, body: body})
@@ -254,6 +266,7 @@
 	}
 	one.server.streams.remove(one)
 	one.server.end(one.flight)
+	one.server.endExposure(one.exposure, false)
 	if one.link != nil {
 		one.link.Close()
 	}
@@ -344,9 +357,7 @@
 func (one *run) finish() error {
 	one.writeHead()
 	one.status = one.link.Response.StatusCode
-	if one.hasEvent && !one.sound {
-		one.noteSound(one.server.Now())
-	}
+	one.server.endExposure(one.exposure, true)
 	if !one.firstAt.IsZero() {
 		one.server.Metrics.firstEvents.Observe(one.firstAt.Sub(one.begun).Seconds())
 		one.server.Metrics.pauses.Observe(one.pause.Seconds())
--- a/standin/siteengine.go
+++ b/standin/siteengine.go
@@ -73,6 +73,8 @@
 // be moved to other endpoints of its site.
 type SiteEngine struct {
 	ID string
+	// Born is the start time in Unix ms that the endpoint states in its report.
+	Born int64
 	// Interval is the time between two events of a stream.
 	Interval time.Duration
 	// CopyTime is how long it takes to copy a generation's memory, except for the last copy, which takes no time.
@@ -197,7 +199,7 @@
 	for id, gen := range sen.active {
 		runs = append(runs, []any{id, gen.made, gen.made, 1})
 	}
-	report := map[string]any{"state": "ready", "runs": runs, "running": len(runs)}
+	report := map[string]any{"state": "ready", "runs": runs, "running": len(runs), "born": sen.Born}
 	if sen.leaving {
 		report["state"], report["leaves_ms"] = "draining", 1500
 	}
@@ -322,15 +324,9 @@
 	if mode != EngineUnsigned {
 		hdr.Set("Response-Signature", "signed."+sen.ID)
 	}
-	if deadly, events := sen.Site.isDeadly(req.Header.Get("Prompt-Prefix")); deadly {
-		wri.Header().Set("Content-Type", "text/event-stream")
-		for made := from + 1; made <= from+events; made++ {
-			_, _ = fmt.Fprintf(wri, "id: %d\ndata: %s\n\n", made, run.CallID)
-			_ = http.NewResponseController(wri).Flush()
-			time.Sleep(sen.Interval)
-		}
-		_ = http.NewResponseController(wri).Flush()
-		mode = EngineCrashes
+	if dly, found := sen.Site.deadlyIn(req.Header.Get("Prompt-Prefix")); found {
+		sen.answerDeadly(wri, run, dly, from)
+		return
 	}
 	if mode == EngineCrashes {
 		sen.Crash()
--- a/standin/siteengine_stream.go
+++ b/standin/siteengine_stream.go
@@ -116,3 +116,33 @@
 		}
 	}
 }
+
+// deadlyDelay is the time from the end of a whole answer to a request with a deadly part to the crash.
+const deadlyDelay = 300 * time.Millisecond
+
+// answerDeadly answers a request with a deadly part, and crashes.
+func (sen *SiteEngine) answerDeadly(wri http.ResponseWriter, run *SiteRun, dly DeadlyPart, from int) {
+	if dly.Form == DeadlyFails {
+		sen.Crash()
+		answerFailure(wri, EngineFailsShort)
+	}
+	wri.Header().Set("Content-Type", "text/event-stream")
+	for made := from + 1; made <= from+dly.Events; made++ {
+		_, _ = fmt.Fprintf(wri, "id: %d\ndata: %s\n\n", made, run.CallID)
+		_ = http.NewResponseController(wri).Flush()
+		time.Sleep(sen.Interval)
+	}
+	_ = http.NewResponseController(wri).Flush()
+	switch dly.Form {
+	case DeadlyWhole:
+		time.AfterFunc(deadlyDelay, func() {
+			sen.Crash()
+			sen.Stop()
+		})
+		return
+	case DeadlyRestarts:
+	default:
+		sen.Crash()
+	}
+	panic(http.ErrAbortHandler)
+}
--- a/standin/siteengines.go
+++ b/standin/siteengines.go
@@ -9,12 +9,34 @@
 type SiteEngines struct {
 	mutex   sync.Mutex
 	engines map[string]*SiteEngine
-	// deadly is the part of a prompt that crashes each engine that begins to answer it; empty means none.
-	deadly string
-	// deadlyEvents is the number of events that an engine sends before it crashes.
-	deadlyEvents int
+	// deadly is the part of a prompt that crashes each engine that begins to answer it.
+	deadly DeadlyPart
 }
 
+// DeadlyPart is a part of prompts that crashes each engine that begins to answer a request with it; with an empty ID, there is
+// none.
+type DeadlyPart struct {
+	ID string
+	// Events is the number of events that an engine sends before it crashes.
+	Events int
+	// Form is how the answer ends.
+	Form DeadlyForm
+}
+
+// DeadlyForm selects the answer to a request with a deadly part.
+type DeadlyForm string
+
+const (
+	// DeadlyBreaksOff breaks off a stream.
+	DeadlyBreaksOff DeadlyForm = ""
+	// DeadlyFails breaks off an answer with status 500.
+	DeadlyFails DeadlyForm = "fails"
+	// DeadlyWhole ends a stream as complete; the engine crashes after deadlyDelay.
+	DeadlyWhole DeadlyForm = "whole"
+	// DeadlyRestarts breaks off a stream, and the address goes on to take connections.
+	DeadlyRestarts DeadlyForm = "restarts"
+)
+
 // NewSiteEngines returns a site without engines.
 func NewSiteEngines() *SiteEngines {
 	return &SiteEngines{engines: map[string]*SiteEngine{}}
@@ -46,22 +68,21 @@
 	return all
 }
 
-// SetDeadlyPart makes each engine crash that begins to answer a request with this part in its prompt, after so many events.
-func (ses *SiteEngines) SetDeadlyPart(id string, events int) {
+// SetDeadlyPart replaces the deadly part.
+func (ses *SiteEngines) SetDeadlyPart(dly DeadlyPart) {
 	ses.mutex.Lock()
 	defer ses.mutex.Unlock()
-	ses.deadly, ses.deadlyEvents = id, events
+	ses.deadly = dly
 }
 
-// isDeadly reports whether a prompt, given as the header of its parts, contains the deadly part, and after how many events an
-// engine crashes then.
-func (ses *SiteEngines) isDeadly(prompt string) (deadly bool, events int) {
+// deadlyIn returns the deadly part if a prompt, given as the header of its parts, contains it.
+func (ses *SiteEngines) deadlyIn(prompt string) (dly DeadlyPart, found bool) {
 	ses.mutex.Lock()
 	defer ses.mutex.Unlock()
 	for _, part := range strings.Split(prompt, ",") {
-		if id, _, _ := strings.Cut(part, ":"); id != "" && id == ses.deadly {
-			return true, ses.deadlyEvents
+		if id, _, _ := strings.Cut(part, ":"); id != "" && id == ses.deadly.ID {
+			return ses.deadly, true
 		}
 	}
-	return false, 0
+	return DeadlyPart{}, false
 }
