Take late requests in a planned stop only if they fit, and answer the rest

Cause: a draining daemon took a request if 3 s were left, or its route's shorter timeout; one that may take longer was taken too. What was unanswered at the end was ended by closing its connection.

Change: once the balancer has taken the daemon out, a request that may not be repeated is taken only if its deadline is within the time that is left. 0.2 s before the end, requests without an answer get 504.

--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -30,6 +30,8 @@
 	// exitMargin is the time reserved for the process to exit before the platform kills it at the end of the notice.
 	exitMargin = 300 * time.Millisecond
 	drainPoll  = 20 * time.Millisecond
+	// endTime is the time before that in which the unanswered requests get an answer.
+	endTime = 200 * time.Millisecond
 	// heapShare is the Go runtime's soft memory limit, above which garbage is collected more often, as a fraction of the
 	// memory limit in the settings.
 	heapShare = 0.6
@@ -201,7 +203,7 @@
 	dmn.Logger.WithField("inFlight", dmn.Server.InFlight()).Info("draining")
 	dmn.awaitUnready()
 	callers.SetKeepAlivesEnabled(false)
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(time.Duration(dmn.Settings.DrainNotice)-exitMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(time.Duration(dmn.Settings.DrainNotice)-exitMargin-endTime))
 	defer cancel()
 	if dmn.Kill != nil {
 		defer context.AfterFunc(dmn.Kill, cancel)()
@@ -209,8 +211,14 @@
 	for dmn.Server.InFlight() > 0 && ctx.Err() == nil {
 		retry.Sleep(ctx, drainPoll)
 	}
+	if inFlight := dmn.Server.InFlight(); inFlight > 0 {
+		dmn.Logger.WithField("inFlight", inFlight).Warn("requests still in flight at the end of the drain notice")
+	}
+	dmn.Server.End()
+	ctx, stop := context.WithTimeout(context.Background(), endTime)
+	defer stop()
 	if err := callers.Shutdown(ctx); err != nil {
-		dmn.Logger.WithError(err).WithField("inFlight", dmn.Server.InFlight()).Warn("requests still in flight at the end of the drain notice")
+		dmn.Logger.WithError(err).WithField("inFlight", dmn.Server.InFlight()).Warn("requests could not be ended")
 		return
 	}
 	dmn.Logger.WithField("elapsed", time.Since(began)).Info("drained")
--- a/gateway/scenario_start_test.go
+++ b/gateway/scenario_start_test.go
@@ -130,6 +130,7 @@
 	var routes []map[string]any
 	for _, rou := range []map[string]any{
 		{"name": "once", "kind": "non_idempotent", "service": "desk", "maxAttempts": 1, "timeoutMs": 2000, "targetLatencyMs": 500},
+		{"name": "slow", "kind": "non_idempotent", "service": "desk", "maxAttempts": 1, "timeoutMs": 20000, "targetLatencyMs": 500},
 		{"name": "again", "kind": "idempotent", "service": "desk", "maxAttempts": 2, "timeoutMs": 2000, "targetLatencyMs": 500},
 		{"name": "long", "kind": "stream", "service": "pool", "maxAttempts": 1, "timeoutMs": 30000, "targetLatencyMs": 3000},
 		{"name": "short", "kind": "stream", "service": "pool", "maxAttempts": 2, "timeoutMs": 30000, "targetLatencyMs": 3000, "resumable": true},
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -95,8 +95,11 @@
 	waiting atomic.Int64
 	// drainingSince is the time of the stop signal in Unix nanoseconds; 0 until the signal arrives.
 	drainingSince atomic.Int64
-	streams       *streams
-	buffers       bufferPool
+	// ending is cancelled by End.
+	ending  context.Context
+	endAll  context.CancelFunc
+	streams *streams
+	buffers bufferPool
 	// beginning holds the streams that have been sent to an engine and have had no event; the mutex guards it.
 	beginning map[*run]bool
 	// sharing is true while a call of OnSurvivals is due.
@@ -106,7 +109,8 @@
 // NewServer returns a server that uses the system clock.
 func NewServer() *Server {
 	bal := dispatch.NewBalancer()
-	return &Server{Now: time.Now, Balancer: bal, Throttle: bal.Throttle, Budget: dispatch.NewBudget(), Suspects: dispatch.NewSuspects(), Blame: dispatch.NewBlame(), Permits: dispatch.NewPermits(), Metrics: NewMetrics(), streams: newStreams(), beginning: map[*run]bool{}}
+	ending, endAll := context.WithCancel(context.Background())
+	return &Server{ending: ending, endAll: endAll, Now: time.Now, Balancer: bal, Throttle: bal.Throttle, Budget: dispatch.NewBudget(), Suspects: dispatch.NewSuspects(), Blame: dispatch.NewBlame(), Permits: dispatch.NewPermits(), Metrics: NewMetrics(), streams: newStreams(), beginning: map[*run]bool{}}
 }
 
 // InFlight returns the number of requests in flight.
@@ -114,6 +118,11 @@
 	return srv.inFlight.Load()
 }
 
+// End ends the requests in flight that have no answer yet, so that their callers get one. Streams go on.
+func (srv *Server) End() {
+	srv.endAll()
+}
+
 // request is the state of one caller's request while it is served.
 type request struct {
 	Call
@@ -134,6 +143,8 @@
 	trial bool
 	// prepaid is true if a retry was taken from the budget before the silent endpoint was given up.
 	prepaid atomic.Bool
+	// answering is true once the head of a stream was written to the caller.
+	answering atomic.Bool
 	// status is the HTTP status of the answer that was relayed to the caller; 0 if the answer is incomplete.
 	status int
 }
@@ -157,6 +168,13 @@
 	if ref == nil {
 		ctx, cancel := context.WithDeadlineCause(req.Context(), rqs.deadline, errDeadline)
 		defer cancel()
+		ctx, end := context.WithCancelCause(ctx)
+		defer end(nil)
+		defer context.AfterFunc(srv.ending, func() {
+			if !rqs.answering.Load() {
+				end(errEnding)
+			}
+		})()
 		if rqs.route.Kind == catalog.KindStream {
 			ref = srv.serveStream(ctx, wri, rqs)
 		} else {
@@ -176,6 +194,7 @@
 
 var (
 	errDeadline  = errors.New("the request's deadline passed")
+	errEnding    = errors.New("the daemon ended")
 	errSilent    = errors.New("the endpoint did not answer before the retry time-out")
 	errCondemned = errors.New("other requests with the same part of the prompt crashed endpoints meanwhile")
 )
@@ -206,9 +225,6 @@
 			rqs.rank = org.Priority
 		}
 	}
-	if ref := srv.refuseDraining(now, rou); ref != nil {
-		return ref
-	}
 	rqs.service = rou.Pick(rand.Float64())
 	wait := rou.Timeout
 	if wait <= 0 {
@@ -218,6 +234,9 @@
 		wait = min(wait, rqs.Deadline)
 	}
 	rqs.deadline = now.Add(wait - answerMargin)
+	if ref := srv.refuseDraining(now, rqs); ref != nil {
+		return ref
+	}
 	rqs.logger = rqs.logger.WithFields(logrus.Fields{"route": rou.Name, "version": cat.Version, "service": rqs.service})
 	srv.mutex.Lock()
 	srv.Budget.Request(now, rqs.service)
@@ -262,13 +281,17 @@
 // its end, and before that the streams that can't be resumed, unless a retry would miss their target.
 // A retry reaches another daemon of the failure domain, or a daemon of another failure domain as soon as the load
 // balancer has taken this one out.
-func (srv *Server) refuseDraining(now time.Time, rou *catalog.Route) *refusal {
+func (srv *Server) refuseDraining(now time.Time, rqs *request) *refusal {
 	since := srv.drainingSince.Load()
 	if since == 0 {
 		return nil
 	}
 	elapsed := now.Sub(time.Unix(0, since))
-	if left := srv.DrainNotice - elapsed; left < min(rou.Timeout, lastRequestTime) {
+	rou := rqs.route
+	left, longest := srv.DrainNotice-elapsed, rqs.deadline.Sub(now)
+	// New connections reach other daemons by unreadyTime, so a caller that is refused then finds one of them.
+	mustFit := elapsed >= unreadyTime && !rou.Repeatable()
+	if left < longest && (mustFit || left < lastRequestTime) {
 		return notRun(drainingRetry, "this daemon is about to end")
 	}
 	if rou.Kind != catalog.KindStream || rou.Resumable {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -346,6 +346,7 @@
 		return
 	}
 	one.header = true
+	one.answering.Store(true)
 	hdr := one.writer.Header()
 	for name, values := range one.server.Wire.AnswerHeader(one.link.Response.Header) {
 		hdr[name] = values
