--- a/gateway/hostile_test.go
+++ b/gateway/hostile_test.go
@@ -31,6 +31,8 @@
 	// hostileHeap is the heap that a daemon may use meanwhile.
 	hostileHeap = 64 << 20
 	heapPoll    = 5 * time.Millisecond
+	// otherCalls is the number of requests to a sound endpoint meanwhile.
+	otherCalls = 10
 )
 
 // hostileCase is an endpoint that sends bytes that are no answer, or no end of one.
@@ -50,7 +52,8 @@
 }
 
 // Each case of testdata/hostile.yaml plays endpoints that send bytes without end, many of them at once. The caller must
-// get an honest end, the connection must be closed, and the memory of the daemon stays bounded.
+// get an honest end, the connection must be closed, the memory of the daemon stays bounded, and the requests of others are
+// answered.
 func TestHostileEndpoints(t *testing.T) {
 	data, err := os.ReadFile("testdata/hostile.yaml")
 	if err != nil {
@@ -72,16 +75,51 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	var engines []*hostileEngine
-	upd := control.EndpointUpdate{}
-	for i := range hostileEngines {
+	var addresses []string
+	for range hostileEngines {
 		eng := newHostileEngine(t, cse)
 		engines = append(engines, eng)
-		edp, err := platform.ParseEndpoint(time.Now(), fmt.Sprintf("e%d", i), fmt.Appendf(nil,
-			`{"service":%q,"address":%q,"zone":"a","slots":1,"state":"ready","sequence":1}`, cse.service(), eng.listener.Addr()))
-		if err != nil {
-			t.Fatal(err)
+		addresses = append(addresses, eng.listener.Addr().String())
+	}
+	service, other := serviceOf(cse.Route), "pool"
+	if service == "pool" {
+		other = "desk"
+	}
+	eng := standin.NewSiteEngine("sound")
+	sound := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		req.Header.Del("Expect-Instance")
+		eng.ServeHTTP(wri, req)
+	}))
+	defer sound.Close()
+	front := startFront(t, ctx, map[string][]string{service: addresses, other: {sound.Listener.Addr().String()}})
+	peak := watchHeap(ctx)
+	var grp sync.WaitGroup
+	for i := range hostileEngines {
+		grp.Go(func() { cse.call(t, front, fmt.Sprintf("id-%d", i)) })
+	}
+	grp.Go(func() { callOthers(t, front, other) })
+	grp.Wait()
+	for _, eng := range engines {
+		eng.awaitClosed(t, cse.Within)
+	}
+	cancel()
+	if got := <-peak; got > hostileHeap {
+		t.Errorf("got a heap of %d MB, want %d at most", got>>20, hostileHeap>>20)
+	}
+}
+
+// startFront starts a server for the endpoints of each service and returns its address.
+func startFront(t *testing.T, ctx context.Context, addresses map[string][]string) string {
+	upd := control.EndpointUpdate{}
+	for service, all := range addresses {
+		for _, address := range all {
+			edp, err := platform.ParseEndpoint(time.Now(), fmt.Sprintf("e%d", len(upd.Endpoints)), fmt.Appendf(nil,
+				`{"service":%q,"address":%q,"zone":"a","slots":64,"state":"ready","sequence":1}`, service, address))
+			if err != nil {
+				t.Fatal(err)
+			}
+			upd.Endpoints = append(upd.Endpoints, edp)
 		}
-		upd.Endpoints = append(upd.Endpoints, edp)
 	}
 	cat, err := platform.ParseCatalog(bytes.ReplaceAll(configuration("1", nil), []byte(`"targetLatencyMs":3000`), []byte(`"targetLatencyMs":300`)))
 	if err != nil {
@@ -94,35 +132,50 @@
 	go ctl.Run(ctx)
 	ctl.Send(ctx, control.ConfigurationUpdate{Catalog: cat})
 	ctl.Send(ctx, upd)
-	for len(ctl.Snapshot().Fleet.Endpoints) < hostileEngines {
+	for len(ctl.Snapshot().Fleet.Endpoints) < len(upd.Endpoints) {
 		time.Sleep(time.Millisecond)
 	}
 	srv := gateway.NewServer()
 	srv.Snapshots, srv.Wire, srv.Logger = ctl, platform.Headers{}, logger
 	front := httptest.NewServer(srv)
-	defer front.Close()
-	peak := watchHeap(ctx)
-	var grp sync.WaitGroup
-	for i := range hostileEngines {
-		grp.Go(func() { cse.call(t, front.Listener.Addr().String(), fmt.Sprintf("id-%d", i)) })
-	}
-	grp.Wait()
-	for _, eng := range engines {
-		eng.awaitClosed(t, cse.Within)
-	}
-	cancel()
-	if got := <-peak; got > hostileHeap {
-		t.Errorf("got a heap of %d MB, want %d at most", got>>20, hostileHeap>>20)
-	}
+	t.Cleanup(front.Close)
+	return front.Listener.Addr().String()
 }
 
-func (cse *hostileCase) service() string {
-	if cse.Route != "once" {
+// serviceOf returns the service of a route in the scripts' configuration.
+func serviceOf(route string) string {
+	if route != "once" {
 		return "pool"
 	}
 	return "desk"
 }
 
+// callOthers sends requests to a service whose endpoint is sound; each must be answered.
+func callOthers(t *testing.T, front, service string) {
+	route := "long"
+	if service == "desk" {
+		route = "once"
+	}
+	for i := range otherCalls {
+		id := fmt.Sprintf("other-%d", i)
+		req, err := standin.NewSiteCall(t.Context(), fmt.Sprintf("http://%s/%s/x?events=3", front, route), id, "key-one", time.Minute)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Errorf("%s: got error %v, want an answer", id, err)
+			return
+		}
+		body, err := io.ReadAll(res.Body)
+		_ = res.Body.Close()
+		if err != nil || res.StatusCode != http.StatusOK {
+			t.Errorf("%s: got status %d, %q, error %v; want 200 and a whole answer", id, res.StatusCode, body, err)
+		}
+	}
+}
+
 // call sends one request and checks its end.
 func (cse *hostileCase) call(t *testing.T, address, id string) {
 	began := time.Now()
