Try all changes of make proof, and count nothing else as a proof

Cause: a change that no longer matched the sources ended the run, so that make proof had stopped at entriesInOrder and the changes after it were not tried; a name that no change has passed silently; a build error, a panic or the time limit could not be told from a script that did not run.

Before, the stale case stopped the run, and "--only nosuch" printed nothing and exited with 0.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -70,10 +70,11 @@
 soak: build
 	go run ./soak --program bin/papayacroftd --seed $(SEED) --seeds $(SEEDS) --duration $(DURATION)
 
-# proof removes mechanisms from a scratch copy of the sources, one change at a time, and checks that the test scripts of
-# the removed mechanism then fail (10 min).
+# proof removes mechanisms from scratch copies of the sources, one change at a time in each, and checks that the test
+# scripts of the removed mechanism then fail (5 min). ONLY="a,b" tries these changes only.
+ONLY ?=
 proof:
-	go run ./proof
+	go run ./proof --only "$(ONLY)"
 
 capacity: build
 	go build -o bin/capacity ./capacity
--- a/proof/main.go
+++ b/proof/main.go
@@ -1,114 +1,137 @@
 // Command proof checks that test scripts detect the loss of the mechanism that they guard. It removes one mechanism
-// after another from a scratch copy of the sources and runs the scripts of each, which must fail.
+// after another from scratch copies of the sources and runs the scripts of each, which must fail.
 package main
 
 import (
-	"cmp"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"regexp"
-	"slices"
+	"runtime"
 	"strings"
+	"sync"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
-	"go.yaml.in/yaml/v3"
 )
 
-// change removes one mechanism from the sources.
-type change struct {
-	Name string `yaml:"name"`
-	// Edits are applied together. Each old text must occur exactly once in its file, so that an edit that no longer
-	// matches the sources is an error.
-	Edits []edit `yaml:"edits"`
-	// Scripts are the test scripts or cases that must fail without the mechanism.
-	Scripts []string `yaml:"scripts"`
-	// Package and Test are where they are; the default is TestScenarios of gateway.
-	Package string `yaml:"package"`
-	Test    string `yaml:"test"`
-}
-
-type edit struct {
-	File string `yaml:"file"`
-	Old  string `yaml:"old"`
-	New  string `yaml:"new"`
+// prover tries changes.
+type prover struct {
+	// Root is the directory of the sources, and Files are the tracked ones, relative to it.
+	Root  string
+	Files []string
+	// Jobs is the number of changes that are tried at a time.
+	Jobs int
+	// Timeout limits the tests of one change.
+	Timeout time.Duration
+	Out     io.Writer
 }
 
 func main() {
-	var file, only string
+	prv := &prover{Root: ".", Out: os.Stdout}
+	var file string
+	var only []string
 	cmd := &cobra.Command{
 		Use: "proof", Short: "Check that test scripts fail without the mechanism that they guard", Args: cobra.NoArgs, SilenceUsage: true, SilenceErrors: true,
-		RunE: func(*cobra.Command, []string) error { return run(file, only) },
+		RunE: func(*cobra.Command, []string) error {
+			changes, err := readChanges(file)
+			if err != nil {
+				return err
+			}
+			if changes, err = choose(changes, only); err != nil {
+				return err
+			}
+			if prv.Files, err = trackedFiles(); err != nil {
+				return err
+			}
+			return prv.run(changes)
+		},
 	}
 	cmd.Flags().StringVar(&file, "changes", "proof/changes.yaml", "`file` with the changes")
-	cmd.Flags().StringVar(&only, "only", "", "`name` of the one change to try; all if empty")
+	cmd.Flags().StringSliceVar(&only, "only", nil, "`names` of the changes to try, separated by commas; all if empty")
+	cmd.Flags().IntVar(&prv.Jobs, "jobs", max(1, runtime.NumCPU()/2), "`number` of changes that are tried at a time")
+	cmd.Flags().DurationVar(&prv.Timeout, "timeout", 5*time.Minute, "`limit` for the tests of one change")
 	if err := cmd.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "proof:", err)
 		os.Exit(1)
 	}
 }
 
-func run(file, only string) error {
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return trace.ConvertSystemError(err)
-	}
-	var changes []change
-	if err := yaml.Unmarshal(data, &changes); err != nil {
-		return trace.BadParameter("%s: %v", file, err)
-	}
-	dir, err := os.MkdirTemp("", "papayacroft-proof")
-	if err != nil {
-		return trace.ConvertSystemError(err)
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	if err := copySources(dir); err != nil {
-		return trace.Wrap(err)
-	}
+// run tries all changes and returns an error that names those that are not proved.
+func (prv *prover) run(changes []change) error {
+	began := time.Now()
+	queue := make(chan *change)
+	var mutex sync.Mutex
+	var grp sync.WaitGroup
 	var unproved []string
-	for _, chg := range changes {
-		chg.Package, chg.Test = cmp.Or(chg.Package, "gateway"), cmp.Or(chg.Test, "TestScenarios")
-		if only != "" && chg.Name != only {
-			continue
-		}
-		passed, err := chg.try(dir)
-		if err != nil {
-			return trace.Wrap(err, "change %s", chg.Name)
-		}
-		if len(passed) > 0 {
+	done := 0
+	report := func(chg *change, res result) {
+		mutex.Lock()
+		defer mutex.Unlock()
+		done++
+		fmt.Fprintf(prv.Out, "%d of %d, %s: %s: %s\n", done, len(changes), time.Since(began).Round(time.Second), chg.Name, res)
+		if !res.isProved() {
 			unproved = append(unproved, chg.Name)
-			fmt.Printf("%s: NOT PROVED, passed without the mechanism: %s\n", chg.Name, strings.Join(passed, ", "))
-			continue
 		}
-		fmt.Printf("%s: failed without the mechanism: %s\n", chg.Name, strings.Join(chg.Scripts, ", "))
 	}
+	for range max(1, prv.Jobs) {
+		grp.Go(func() {
+			dir, err := prv.copySources()
+			defer func() { _ = os.RemoveAll(dir) }()
+			for chg := range queue {
+				if err != nil {
+					report(chg, result{Problem: "sources could not be copied: " + err.Error()})
+					continue
+				}
+				report(chg, prv.try(dir, chg))
+			}
+		})
+	}
+	for i := range changes {
+		queue <- &changes[i]
+	}
+	close(queue)
+	grp.Wait()
 	if len(unproved) > 0 {
-		return trace.CompareFailed("scripts passed without the mechanism that they guard, for changes: %s", strings.Join(unproved, ", "))
+		return trace.CompareFailed("%d of %d changes are not proved: %s", len(unproved), len(changes), strings.Join(unproved, ", "))
 	}
+	fmt.Fprintf(prv.Out, "all %d changes are proved\n", len(changes))
 	return nil
 }
 
-// copySources copies the files that git tracks, except the journal, to a directory.
-func copySources(dir string) error {
+// trackedFiles returns the files that git tracks, without the journal.
+func trackedFiles() ([]string, error) {
 	list, err := exec.Command("git", "ls-files").Output()
 	if err != nil {
-		return trace.Wrap(err, "git ls-files")
+		return nil, trace.Wrap(err, "git ls-files")
 	}
+	var files []string
 	for _, name := range strings.Fields(string(list)) {
-		if strings.HasPrefix(name, "journal/") {
-			continue
+		if !strings.HasPrefix(name, "journal/") {
+			files = append(files, name)
 		}
-		data, err := os.ReadFile(name)
+	}
+	return files, nil
+}
+
+// copySources copies the sources to a new directory, which the caller removes.
+func (prv *prover) copySources() (dir string, err error) {
+	dir, err = os.MkdirTemp("", "papayacroft-proof")
+	if err != nil {
+		return "", trace.ConvertSystemError(err)
+	}
+	for _, name := range prv.Files {
+		data, err := os.ReadFile(filepath.Join(prv.Root, name))
 		if err != nil {
-			return trace.ConvertSystemError(err)
+			return dir, trace.ConvertSystemError(err)
 		}
 		if err := write(filepath.Join(dir, name), data); err != nil {
-			return trace.Wrap(err)
+			return dir, trace.Wrap(err)
 		}
 	}
-	return nil
+	return dir, nil
 }
 
 func write(name string, data []byte) error {
@@ -117,48 +140,3 @@
 	}
 	return trace.ConvertSystemError(os.WriteFile(name, data, 0o600))
 }
-
-// try applies the change to the copy in dir, runs its scripts, reverts the change and returns the scripts that passed.
-// It fails if an edit doesn't match or a script did not run.
-func (chg *change) try(dir string) (passed []string, err error) {
-	for _, edt := range chg.Edits {
-		name := filepath.Join(dir, edt.File)
-		before, err := os.ReadFile(name)
-		if err != nil {
-			return nil, trace.ConvertSystemError(err)
-		}
-		if count := strings.Count(string(before), edt.Old); count != 1 {
-			return nil, trace.BadParameter("%s contains the old text %d times, expected once: %s", edt.File, count, edt.Old)
-		}
-		if err := write(name, []byte(strings.Replace(string(before), edt.Old, edt.New, 1))); err != nil {
-			return nil, trace.Wrap(err)
-		}
-		defer func() {
-			if undone := write(name, before); err == nil {
-				err = undone
-			}
-		}()
-	}
-	pattern := "^" + chg.Test + "$/^(" + strings.Join(chg.Scripts, "|") + ")$"
-	test := exec.Command("go", "test", "-count=1", "-v", "-run", pattern, "./"+chg.Package) //nolint:gosec // the names are the project's own
-	test.Dir = dir
-	// The error is ignored, because the scripts are expected to fail. If the build fails, no script is reported, which
-	// the check below finds.
-	out, _ := test.CombinedOutput()
-	var ran []string
-	for _, found := range verdict.FindAllSubmatch(out, -1) {
-		ran = append(ran, string(found[2]))
-		if string(found[1]) == "PASS" {
-			passed = append(passed, string(found[2]))
-		}
-	}
-	for _, script := range chg.Scripts {
-		if !slices.Contains(ran, script) {
-			return nil, trace.BadParameter("script %s did not run: %s", script, out)
-		}
-	}
-	return passed, nil
-}
-
-// verdict matches the line in which go test reports the result of one script.
-var verdict = regexp.MustCompile(`--- (PASS|FAIL): Test\w+/(\S+)`)
