Don't blame a restarted endpoint for news of its earlier crash

Cause: reports without parts, which gossip repeats for 2 min, have no time of their own. For an endpoint without a start time, each of them was taken for a new crash, and the requests that the endpoint had answered since were blamed for it. Found by reading; no endpoint of the users' platform is without a start time.

Change: a report with neither parts nor a start time is not used in the search for parts.

--- a/dispatch/blame.go
+++ b/dispatch/blame.go
@@ -10,7 +10,7 @@
 
 const (
 	// condemningCrashes is the number of engines that must have crashed after the head of an answer and before its first event
-	// until requests with a part of a prompt that these requests had in common are refused.
+	// before requests with a part of a prompt that these requests had in common are refused.
 	condemningCrashes = 2
 	// condemningLosses is the number of engines if some had sent events, or no head: such a request may have run, or waited,
 	// while another one crashed the engine.
@@ -147,7 +147,8 @@
 // Crashed records a crash at the time at. It returns reports on the requests that this daemon had sent to the endpoint before
 // and that had ended by then.
 func (bla *Blame) Crashed(now, at time.Time, rep PartCrash) (ended []PartCrash) {
-	if now.Sub(at) >= blameRetention {
+	// Without a start time, a report without parts may be about an earlier start of the endpoint.
+	if now.Sub(at) >= blameRetention || len(rep.Parts) == 0 && rep.StartedAt == 0 {
 		return nil
 	}
 	runs := bla.crashedWith(rep.Incarnation, rep.Digest, at)
@@ -339,7 +340,7 @@
 	}
 }
 
-// condemning returns the index of a report with a condemned part, by crash.
+// condemning returns the index of a report with a condemned part, for each crash that has one.
 func (bla *Blame) condemning() map[*blameCrash]int {
 	first := map[*blameCrash]int{}
 	for part, explained := range bla.condemned {
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -21,7 +21,7 @@
 	// crashCheckDelay is the delay from a broken answer to the connection attempt that shows whether the endpoint has
 	// crashed: a crashed endpoint takes no connections for seconds.
 	crashCheckDelay = 40 * time.Millisecond
-	// maxSharedCrashes limits the crashes in one message of gossip, which takes up to 200 bytes for each.
+	// maxSharedCrashes limits the crashes in one message of gossip, which takes up to 250 bytes for each.
 	maxSharedCrashes = 8
 	// condemnedRetry is the Retry-After of requests that are refused because they crashed several endpoints.
 	condemnedRetry = 30 * time.Second
@@ -84,7 +84,7 @@
 }
 
 // checkCrash checks in the background whether an endpoint that broke off an answer has crashed, that is, whether it
-// accepts no connections. It does nothing if the endpoint is known to leave, or if the caller disconnected or the deadline
+// accepts no connections or has started again. It does nothing if the endpoint is known to leave, or if the caller disconnected or the deadline
 // passed. The returned channel gets the result.
 func (srv *Server) checkCrash(ctx context.Context, rqs *request, edp *catalog.Endpoint, end interruption) <-chan bool {
 	crashed := make(chan bool, 1)
@@ -122,15 +122,6 @@
 	}
 }
 
-func (srv *Server) breakExposure(exp *dispatch.Exposure) {
-	if exp == nil {
-		return
-	}
-	srv.mutex.Lock()
-	defer srv.mutex.Unlock()
-	srv.Blame.Break(exp)
-}
-
 var errStartedAgain = errors.New("the endpoint has started again")
 
 // checkAlive returns an error if an endpoint accepts no connections, or if it has started again: the check may be late.
@@ -197,6 +188,16 @@
 	}
 }
 
+// breakExposure drops the record of an answer that broke off.
+func (srv *Server) breakExposure(exp *dispatch.Exposure) {
+	if exp == nil {
+		return
+	}
+	srv.mutex.Lock()
+	defer srv.mutex.Unlock()
+	srv.Blame.Break(exp)
+}
+
 // noteEvents records that events arrived from the engine, for the search for parts that crash engines.
 func (one *run) noteEvents(now time.Time) {
 	if !one.hasEvent {
@@ -252,7 +253,8 @@
 		srv.Balancer.Failed(now, found.Endpoint, true)
 	}
 	ended := srv.Blame.Crashed(now, at, dispatch.PartCrash{
-		Incarnation: incarnation, Digest: found.Digest, Parts: found.Parts, Begun: found.Begun, Started: found.Started, Age: milliseconds(found.AnswerMS), Trial: found.Trial,
+		Incarnation: incarnation, Digest: found.Digest, Parts: found.Parts, Begun: found.Begun, Started: found.Started,
+		Age: milliseconds(found.AnswerMS), Trial: found.Trial,
 	})
 	srv.mutex.Unlock()
 	srv.updateBlame()
