--- a/dispatch/blame.go
+++ b/dispatch/blame.go
@@ -104,8 +104,8 @@
 	condemned map[string]map[*blameCrash]bool
 	reported  map[string]bool
 	triedAt   map[string]time.Time
-	// told are the blamed parts of which all daemons know that they have been in a whole answer.
-	told map[string]bool
+	// announced are the blamed parts for which the daemons have been sent that they were in a whole answer.
+	announced map[string]bool
 	// refuting are the runs that refute a crash, by part.
 	refuting map[string][]refutation
 	// changed is true if there are new reports or runs since the evaluation at evaluatedAt.
@@ -140,7 +140,7 @@
 func NewBlame() *Blame {
 	return &Blame{
 		sound: map[string]soundness{}, condemned: map[string]map[*blameCrash]bool{}, reported: map[string]bool{},
-		triedAt: map[string]time.Time{}, told: map[string]bool{}, refuting: map[string][]refutation{},
+		triedAt: map[string]time.Time{}, announced: map[string]bool{}, refuting: map[string][]refutation{},
 	}
 }
 
@@ -170,7 +170,7 @@
 	case known >= 0 && rep.stage() <= crs.reports[known].stage():
 		return
 	case known >= 0:
-		// The daemon that sent the request knows most of it.
+		// The daemon that sent the request reports the latest stage.
 		crs.reports[known] = rep
 	case len(crs.reports) >= maxCrashReports:
 		return
@@ -255,8 +255,8 @@
 	return bla.older[part]
 }
 
-// Refuting returns runs that refute that parts are at fault for crashes, for the other daemons. With onlyNews, it returns those
-// that they have not been told of, and takes them for told.
+// Refuting returns the runs that refute that parts are at fault for crashes, for the other daemons. With onlyNews, it returns
+// those that have not been announced yet, and marks them as announced.
 func (bla *Blame) Refuting(now time.Time, onlyNews bool) []Exposure {
 	bla.evaluate(now)
 	runs := bla.known(onlyNews)
@@ -265,14 +265,14 @@
 		count := 0
 		for _, ref := range all {
 			exp := ref.run
-			if count >= maxSharedRuns || added[exp] || onlyNews && (exp.remote || exp.shared >= ref.needed) {
+			if count >= maxSharedRuns || added[exp] || onlyNews && (exp.remote || exp.announced >= ref.needed) {
 				continue
 			}
 			runs = append(runs, *exp)
 			added[exp] = true
 			count++
 			if onlyNews {
-				exp.shared = exp.lasted(now)
+				exp.announced = exp.lasted(now)
 			}
 		}
 	}
@@ -288,12 +288,12 @@
 			counts[part]++
 		}
 	}
-	maps.DeleteFunc(bla.told, func(part string, _ bool) bool { return counts[part] == 0 })
+	maps.DeleteFunc(bla.announced, func(part string, _ bool) bool { return counts[part] == 0 })
 	var parts []string
 	var settled []Exposure
 	for part, count := range counts {
 		snd := bla.soundness(part)
-		if snd.knownAt.IsZero() || onlyNews && bla.told[part] {
+		if snd.knownAt.IsZero() || onlyNews && bla.announced[part] {
 			continue
 		}
 		parts = append(parts, part)
@@ -310,7 +310,7 @@
 	parts = parts[:min(len(parts), maxKnownParts)]
 	if onlyNews {
 		for _, part := range parts {
-			bla.told[part] = true
+			bla.announced[part] = true
 		}
 	}
 	at := bla.soundness(parts[0]).knownAt
@@ -332,7 +332,7 @@
 		}
 		for _, crs := range slices.Backward(bla.crashes) {
 			for i, rep := range crs.reports {
-				if at, told := first[crs]; (!told || at != i) && !yield(crs.at, rep) {
+				if at, isFirst := first[crs]; (!isFirst || at != i) && !yield(crs.at, rep) {
 					return
 				}
 			}
--- a/dispatch/condemn.go
+++ b/dispatch/condemn.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// suspicion is what connects a crash with a part.
+// suspicion connects a crash with a part of the requests that ran at the endpoint.
 type suspicion struct {
 	crash *blameCrash
 	// stage is the most suspicious one of the requests with the part.
@@ -40,8 +40,8 @@
 // grounds decides whether the crashes that no other part explains suffice to condemn a part.
 type grounds func(now time.Time, all []suspicion) bool
 
-// condemn condemns the parts for which the grounds suffice, of those that have been in a whole answer or of the others. It
-// leaves out the crashes that a part explains which was condemned before, on stronger grounds.
+// condemn condemns the parts for which the grounds suffice: with known, those that have been in a whole answer, otherwise the
+// others. Crashes that a part explains which was condemned on stronger grounds are left out.
 func (bla *Blame) condemn(now time.Time, suspects map[string][]suspicion, known bool, suffices grounds) {
 	explained := map[*blameCrash]bool{}
 	for _, crashes := range bla.condemned {
@@ -52,15 +52,15 @@
 			continue
 		}
 		left := slices.DeleteFunc(slices.Clone(all), func(sus suspicion) bool { return explained[sus.crash] })
-		if suffices(now, left) && (len(left) >= condemningTogether || bla.isUsual(left)) {
+		if suffices(now, left) && (len(left) >= condemningTogether || bla.isMajority(left)) {
 			bla.condemned[part] = crashesOf(all)
 		}
 	}
 }
 
-// isUsual reports whether at least half of the crashes in the time of the given ones are among them. While engines crash for
-// other reasons, it takes more crashes to show that a part is at fault.
-func (bla *Blame) isUsual(some []suspicion) bool {
+// isMajority reports whether at least half of all crashes from the first to the last of the given ones are among them. While
+// engines crash for other reasons, it takes more crashes to show that a part is at fault.
+func (bla *Blame) isMajority(some []suspicion) bool {
 	from, to, total := some[0].crash.at, some[len(some)-1].crash.at, 0
 	for _, crs := range bla.crashes {
 		if !crs.at.Before(from) && !crs.at.After(to) {
--- a/dispatch/exposure.go
+++ b/dispatch/exposure.go
@@ -39,12 +39,12 @@
 	endedAt time.Time
 	// remote is true if another daemon has observed the run.
 	remote bool
-	// shared is how long the run had lasted when the other daemons were told of it.
-	shared time.Duration
+	// announced is how long the run had lasted when it was last sent to the other daemons.
+	announced time.Duration
 }
 
-// lasted returns the time for which the endpoint is known to have gone on since it began to answer. After a whole answer it
-// counts as alive, since the run is dropped with the first sign of a crash.
+// lasted returns the time for which the endpoint is known to have gone on since it began to answer. After a whole answer, the
+// endpoint counts as alive until a crash is reported, which drops the run.
 func (exp *Exposure) lasted(now time.Time) time.Duration {
 	if exp.Whole {
 		return now.Sub(exp.BeganAt)
@@ -109,7 +109,7 @@
 	}
 	for _, part := range run.Parts {
 		bla.markKnown(part, run.BeganAt)
-		bla.told[part] = true
+		bla.announced[part] = true
 		bla.changed = bla.changed || bla.condemned[part] != nil
 	}
 }
@@ -158,8 +158,8 @@
 	return ended[max(0, len(ended)-maxEndedReports):]
 }
 
-// survivors returns the runs at endpoints that have not crashed, by part, and the endpoints that answer although they are said to
-// have crashed: a daemon that is cut off takes all of them for crashed.
+// survivors returns the runs at endpoints that have not crashed, by part, and the endpoints that answer although they were
+// reported as crashed: a daemon whose network is cut off reports all endpoints.
 func (bla *Blame) survivors() (runs map[string][]*Exposure, answering map[Incarnation]bool) {
 	runs, answering = map[string][]*Exposure{}, map[Incarnation]bool{}
 	crashedAt := map[Incarnation]time.Time{}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -23,13 +23,6 @@
 const (
 	// noCatalogRetry is the Retry-After of a daemon that has no configuration yet.
 	noCatalogRetry = 500 * time.Millisecond
-	// drainingRetry is the Retry-After of a draining daemon; the retry is expected to reach another daemon.
-	drainingRetry = 20 * time.Millisecond
-	// lastRequestTime is the time left before the process ends below which a draining daemon refuses new requests,
-	// unless their route has a shorter timeout: a short stream on a busy engine takes 2.5 s.
-	lastRequestTime = 3 * time.Second
-	// usualFirstEvent is the typical time to the first event of a generation.
-	usualFirstEvent = 500 * time.Millisecond
 	// endpointsWait is how long a request waits, just after the daemon's start, until the first endpoints are read
 	// from the store: the store answers in 4 ms.
 	endpointsWait = 40 * time.Millisecond
@@ -118,11 +111,6 @@
 	return srv.inFlight.Load()
 }
 
-// End ends the requests in flight that have no answer yet, so that their callers get one. Streams go on.
-func (srv *Server) End() {
-	srv.endAll()
-}
-
 // request is the state of one caller's request while it is served.
 type request struct {
 	Call
@@ -277,36 +265,6 @@
 	return srv.drainingSince.Load() != 0
 }
 
-// refuseDraining refuses requests that would probably not complete before the daemon stops: all requests shortly before
-// its end, and before that the streams that can't be resumed, unless a retry would miss their target.
-// A retry reaches another daemon of the failure domain, or a daemon of another failure domain as soon as the load
-// balancer has taken this one out.
-func (srv *Server) refuseDraining(now time.Time, rqs *request) *refusal {
-	since := srv.drainingSince.Load()
-	if since == 0 {
-		return nil
-	}
-	elapsed := now.Sub(time.Unix(0, since))
-	rou := rqs.route
-	left, longest := srv.DrainNotice-elapsed, rqs.deadline.Sub(now)
-	// New connections reach other daemons by unreadyTime, so a caller that is refused then finds one of them.
-	mustFit := elapsed >= unreadyTime && !rou.Repeatable()
-	if left < longest && (mustFit || left < lastRequestTime) {
-		return notRun(drainingRetry, "this daemon is about to end")
-	}
-	if rou.Kind != catalog.KindStream || rou.Resumable {
-		return nil
-	}
-	wait := drainingRetry
-	if srv.HasNeighbour == nil || !srv.HasNeighbour() {
-		wait = max(wait, unreadyTime-elapsed)
-	}
-	if wait+usualFirstEvent > rou.Target {
-		return nil
-	}
-	return notRun(wait, "this daemon is stopping")
-}
-
 func (srv *Server) readBody(now time.Time, wri http.ResponseWriter, rqs *request, limit int64) *refusal {
 	if rqs.http.Body == nil || rqs.http.Body == http.NoBody {
 		return nil
