Keep the users of an engine while the daemons are the same

Cause: each change of the endpoints made a daemon assign all engines to their users again. Change: an assignment for the same members takes the users of known engines over.

--- a/exchange/sharing.go
+++ b/exchange/sharing.go
@@ -22,7 +22,9 @@
 	own   map[string]bool
 }
 
-// newSharing assigns the engines of a snapshot to the members; it returns the old assignment if nothing has changed.
+// newSharing assigns the engines of a snapshot to the members; it returns the old assignment if nothing has changed. While
+// the members are the same, an engine keeps its users: with hundreds of daemons, assigning all engines again whenever one
+// of them comes or goes takes most of a daemon's processor time.
 func newSharing(old *sharing, snp *control.Snapshot, name string, ros *roster) *sharing {
 	if old != nil && old.roster == ros && old.endpoints == snp.Fleet.Changes && old.catalog == snp.Catalog {
 		return old
@@ -35,7 +37,15 @@
 		if snp.Catalog == nil || snp.Catalog.Services[edp.Service].Engine == nil {
 			continue
 		}
-		shr.users[id] = ros.assignment.Assigned(id, engineUsers)
+		var users []string
+		known := false
+		if old != nil && old.roster == ros {
+			users, known = old.users[id]
+		}
+		if !known {
+			users = ros.assignment.Assigned(id, engineUsers)
+		}
+		shr.users[id] = users
 		if shr.own != nil && slices.Contains(shr.users[id], name) {
 			shr.own[id] = true
 		}
