--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -51,6 +51,9 @@
 // Load is the load that an endpoint reports about itself.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowness is how long work currently takes on the endpoint's machine, as a multiple of the usual time; 0 if that is
+	// not stated.
+	Slowness float64
 }
 
 // Answer is the information in the headers of an endpoint's answer.
