Choose engines by their learnt speeds

Engines that share their machines differ in speed, and the choice took all for alike: a long generation ran three times as long on a slow engine, and was more often there when the engine left. The time per output token, the rate of reading prompts and the share of late events are now learnt from streams while they run and from what peers report, and the expected run time, weighted by the rate at which engines leave, the pauses and the expected time to the first event enter the score. Services whose endpoints do not state how slow their machines are keep the former rule.

go test ./dispatch passes with 16 new cases. Without the change of the time per token by the number of running requests, the weight of the run time, of own pauses, of those beside the prompt, the paces of peers, their lifetime, the half-life or the check of the start time, one case or more fails (tried one by one).

--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -100,6 +100,11 @@
 	Score float64
 	// Considered is the number of endpoints that accept new requests of the service, full ones included.
 	Considered int
+	// Forecast is what a stream is expected to meet at the chosen engine; zero for plain services.
+	Forecast Forecast
+	// Second is the id of the second-best endpoint that is not full, and SecondScore its score; empty if there is none.
+	Second      string
+	SecondScore float64
 }
 
 // Work is the load that a request puts on an engine; it is zero for plain services.
@@ -108,6 +113,8 @@
 	Tokens int
 	// Prefill is the number of prompt tokens that the engine computes before the first event.
 	Prefill int
+	// Output is the number of tokens that the request is expected to generate from now on.
+	Output int
 }
 
 // Flight is a request in flight at an endpoint.
@@ -122,6 +129,8 @@
 	Tokens  int `json:"tokens,omitempty"`
 	// Prefill is the number of prompt tokens of the requests that have had no event yet.
 	Prefill int `json:"prefill,omitempty"`
+	// Pace is what the daemon's streams show of the engine's speed; nil if that is not known.
+	Pace *Pace `json:"pace,omitempty"`
 }
 
 // Report is a load report of an endpoint; it counts the requests of all daemons.
@@ -139,6 +148,8 @@
 	FailureDomain string
 	// Throttle knows the endpoints that name a limit.
 	Throttle *Throttle
+	// Speeds knows how fast engines run.
+	Speeds *Speeds
 
 	endpoints map[string]*endpoint
 }
@@ -166,7 +177,7 @@
 
 // NewBalancer returns a balancer without any recorded load or failure.
 func NewBalancer() *Balancer {
-	return &Balancer{Throttle: NewThrottle(), endpoints: map[string]*endpoint{}}
+	return &Balancer{Throttle: NewThrottle(), Speeds: NewSpeeds(), endpoints: map[string]*endpoint{}}
 }
 
 // Choose scores the endpoints that accept new requests of the service and returns the best one that is not full.
@@ -205,12 +216,13 @@
 			}
 			continue
 		}
-		if score += rnd.Float64() * distancePenalty / 2; score < choice.Score {
-			choice.Endpoint, choice.Score = &edp, score
-		}
+		choice.offer(&edp, score+rnd.Float64()*distancePenalty/2)
 	}
 	if choice.Endpoint != nil {
 		choice.Reason = ""
+		if engine != nil {
+			choice.Forecast = bal.forecast(now, bal.endpoint(choice.Endpoint.ID), choice.Endpoint, engine, req)
+		}
 	}
 	return choice
 }
@@ -231,8 +243,8 @@
 	use := sta.utilization(now, edp, engine, req)
 	score, full = use, use > req.limit()
 	if engine != nil {
-		delay := sta.firstEventDelay(now, req)
-		score, full = memoryWeight*use+delay, full || delay > delayLimit
+		fct := bal.forecast(now, sta, edp, engine, req)
+		score, full = memoryWeight*use+fct.score(), full || fct.delay > delayLimit
 	}
 	score += failureWeight * sta.failureShare(now)
 	switch {
@@ -253,19 +265,13 @@
 // utilization returns the part of the endpoint's capacity that is in use once the request is added: the greater of the
 // parts of its slots and of its memory. At 1 the endpoint is full.
 func (sta *endpoint) utilization(now time.Time, edp *catalog.Endpoint, engine *catalog.Engine, req *Request) float64 {
-	flights, tokens := sta.own.Flights, sta.own.Tokens
+	tokens := sta.own.Tokens
 	for _, per := range sta.peers {
 		if now.Sub(per.at) < peerUsageLifetime {
-			flights += per.usage.Flights
 			tokens += per.usage.Tokens
 		}
 	}
-	if now.Sub(sta.report.At) < reportLifetime {
-		// The report counts the requests of all daemons when it was made, so only the change in the number of this
-		// daemon's requests since then is added.
-		flights = max(flights, sta.report.Running+sta.report.Waiting+sta.own.Flights-sta.report.ownFlights)
-	}
-	use := float64(flights+1) / float64(edp.Slots)
+	use := float64(sta.flights(now)+1) / float64(edp.Slots)
 	if engine != nil && engine.CapacityTokens > 0 {
 		use = max(use, float64(tokens+req.Tokens)/(memoryLimit*float64(engine.CapacityTokens)))
 	}
@@ -276,13 +282,8 @@
 // All daemons send requests to a new, empty engine at once, and it computes their prompts one after the other.
 // Only the counts that the daemons send to each other show this in time; the engine's reports come too late.
 func (sta *endpoint) firstEventDelay(now time.Time, req *Request) float64 {
-	pending := float64(sta.own.Prefill)
-	for _, per := range sta.peers {
-		if age := now.Sub(per.at); age < peerUsageLifetime {
-			pending += max(0, float64(per.usage.Prefill)-prefillTokensPerSecond*age.Seconds())
-		}
-	}
-	return (pending + float64(req.Prefill)) / prefillTokensPerSecond / max(req.Target, time.Second).Seconds()
+	pending := sta.pending(now, prefillTokensPerSecond)
+	return (pending + float64(req.Prefill)) / prefillTokensPerSecond / max(req.Target, minTarget).Seconds()
 }
 
 // Begin counts a request that is about to be sent to an endpoint.
@@ -337,14 +338,19 @@
 func (bal *Balancer) SetPeerUsage(now time.Time, name string, usage map[string]Usage) {
 	for id, usg := range usage {
 		sta := bal.endpoint(id)
-		if usg == (Usage{}) {
+		pace := usg.Pace
+		usg.Pace = nil
+		switch {
+		case usg == (Usage{}):
 			delete(sta.peers, name)
-			continue
+		case sta.peers == nil:
+			sta.peers = map[string]peerUsage{name: {usage: usg, at: now}}
+		default:
+			sta.peers[name] = peerUsage{usage: usg, at: now}
 		}
-		if sta.peers == nil {
-			sta.peers = map[string]peerUsage{}
+		if pace != nil {
+			bal.Speeds.SetPeer(now, name, id, *pace, sta.flights(now))
 		}
-		sta.peers[name] = peerUsage{usage: usg, at: now}
 	}
 }
 
--- /dev/null
+++ b/dispatch/forecast.go
@@ -0,0 +1,179 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"papayacroft/catalog"
+)
+
+const (
+	// latePenalty is the weight in a score of the probability that a pause makes the stream late, and of the expected number
+	// of other streams that the prompt makes late. A late stream loses as much by a pause as by its first event, whose
+	// target has a weight of 1.
+	latePenalty = 1.0
+	// minTarget bounds the target for the first event from below; copies and routes without a target would divide by zero.
+	minTarget = time.Second
+)
+
+// Forecast is what a stream is expected to meet at an engine.
+type Forecast struct {
+	// First is the expected time to the first event, Run that from the first event to the end.
+	First, Run time.Duration
+	// Leaves is the expected number of times that the engine leaves while the stream runs.
+	Leaves float64
+	// Pause is the probability that one of the stream's events comes later than the pause target. Beside is the expected
+	// number of other streams for which that happens because of the stream's prompt.
+	Pause, Beside float64
+	// Learnt is true if there is a fresh estimate of the engine's speed; otherwise the means of its service apply.
+	Learnt bool
+
+	// delay is First as a part of its target.
+	delay float64
+}
+
+// score returns the forecast's part of an engine's score.
+func (fct *Forecast) score() float64 {
+	return fct.delay + fct.Leaves + latePenalty*(fct.Pause+fct.Beside)
+}
+
+// forecast returns what the request is expected to meet at an engine. For services without learnt speeds it has the time to
+// the first event only, at a fixed rate.
+func (bal *Balancer) forecast(now time.Time, sta *endpoint, edp *catalog.Endpoint, engine *catalog.Engine, req *Request) Forecast {
+	if !bal.Speeds.Enabled(edp.Service) {
+		delay := sta.firstEventDelay(now, req)
+		return Forecast{delay: delay, First: ofSeconds(delay * max(req.Target, minTarget).Seconds())}
+	}
+	spd := bal.Speeds.At(now, edp)
+	first := (sta.pending(now, spd.PromptRate) + float64(req.Prefill)) / spd.PromptRate
+	flights := sta.flights(now)
+	perToken := spd.PerToken
+	if spd.Learnt {
+		// Requests that have come since the samples slow the engine at once. With all its slots in use it takes about twice
+		// as long for a token as with few: each request lengthens each step and brings a prompt that is read in between.
+		// Without this all daemons would send to an engine that was fast until then.
+		slots := float64(max(1, edp.Slots))
+		perToken *= (slots + float64(flights)) / (slots + spd.Running)
+	}
+	run := float64(req.Output) * perToken
+	fct := Forecast{
+		First: ofSeconds(first), Run: ofSeconds(run), Learnt: spd.Learnt,
+		Leaves: run * bal.Speeds.Leaving.Rate(edp.Service), delay: first / max(req.Target, minTarget).Seconds(),
+	}
+	perEvent := float64(max(1, engine.EventTokens(1)))
+	fct.Pause = anyOf(spd.Late, float64(req.Output)/perEvent)
+	// Streams that are late already are not made late by the prompt.
+	reading := float64(req.Prefill) / spd.PromptRate
+	fct.Beside = float64(flights) * anyOf(spd.LateBeside, reading/(perToken*perEvent)) * (1 - anyOf(spd.Late, spd.Position))
+	return fct
+}
+
+// flights returns the number of requests of all daemons at the endpoint.
+func (sta *endpoint) flights(now time.Time) int {
+	flights := sta.own.Flights
+	for _, per := range sta.peers {
+		if now.Sub(per.at) < peerUsageLifetime {
+			flights += per.usage.Flights
+		}
+	}
+	if now.Sub(sta.report.At) < reportLifetime {
+		// The report counts the requests of all daemons when it was made, so only the change in the number of this
+		// daemon's requests since then is added.
+		flights = max(flights, sta.report.Running+sta.report.Waiting+sta.own.Flights-sta.report.ownFlights)
+	}
+	return flights
+}
+
+// anyOf returns the probability that at least one of a number of independent events happens.
+func anyOf(probability, number float64) float64 {
+	return 1 - math.Pow(1-min(max(probability, 0), 1), max(0, number))
+}
+
+// pending returns the prompt tokens that an engine is expected to have left to read, of all daemons' requests.
+func (sta *endpoint) pending(now time.Time, rate float64) float64 {
+	pending := float64(sta.own.Prefill)
+	for _, per := range sta.peers {
+		if age := now.Sub(per.at); age < peerUsageLifetime {
+			pending += max(0, float64(per.usage.Prefill)-rate*age.Seconds())
+		}
+	}
+	return pending
+}
+
+// offer takes over an endpoint that is not full if it is the best or second-best so far.
+func (cho *Choice) offer(edp *catalog.Endpoint, score float64) {
+	switch {
+	case score < cho.Score:
+		if cho.Endpoint != nil {
+			cho.Second, cho.SecondScore = cho.Endpoint.ID, cho.Score
+		}
+		cho.Endpoint, cho.Score = edp, score
+	case cho.Second == "" || score < cho.SecondScore:
+		cho.Second, cho.SecondScore = edp.ID, score
+	}
+}
+
+// ofSeconds converts a number of seconds; it bounds what a duration cannot hold.
+func ofSeconds(num float64) time.Duration {
+	return time.Duration(min(num, time.Hour.Seconds()) * float64(time.Second))
+}
+
+// Watch follows one stream at one engine for the samples of Speeds.
+type Watch struct {
+	edp    catalog.Endpoint
+	sentAt time.Time
+	// prompts is the number of prompt tokens that the engine had to read before the first event; 0 after a copy.
+	prompts float64
+	// lastAt is when the latest event came; zero if the next interval is no sample.
+	lastAt time.Time
+	// events is the number of events so far.
+	events int
+}
+
+// Watch begins to follow a stream that is about to be sent to an engine; it has to be called before Begin.
+func (bal *Balancer) Watch(now time.Time, edp *catalog.Endpoint, wrk Work) *Watch {
+	wch := &Watch{edp: *edp, sentAt: now}
+	if wrk.Prefill > 0 {
+		wch.prompts = bal.endpoint(edp.ID).pending(now, bal.Speeds.At(now, edp).PromptRate) + float64(wrk.Prefill)
+	}
+	return wch
+}
+
+// Skip makes the interval until the next event no sample: it says nothing about the engine.
+func (wch *Watch) Skip() {
+	wch.lastAt = time.Time{}
+}
+
+// Observe records that events with a number of tokens have arrived together. A pauseTarget of 0 means that none is late.
+func (bal *Balancer) Observe(now time.Time, wch *Watch, events, tokens int, pauseTarget time.Duration) {
+	defer func() { wch.lastAt, wch.events = now, wch.events+events }()
+	if !bal.Speeds.Enabled(wch.edp.Service) || events <= 0 || tokens <= 0 {
+		return
+	}
+	eng := bal.Speeds.engine(wch.edp.ID, wch.edp.Service, wch.edp.StartedAt)
+	if eng == nil {
+		return
+	}
+	if wch.events == 0 {
+		if elapsed := now.Sub(wch.sentAt).Seconds(); wch.prompts > 0 && elapsed > 0 {
+			eng.perPrompt.add(now, paceHalfLife, elapsed/wch.prompts, wch.prompts)
+		}
+		return
+	}
+	if wch.lastAt.IsZero() {
+		return
+	}
+	gap, weight := now.Sub(wch.lastAt), float64(tokens)
+	sta := bal.endpoint(wch.edp.ID)
+	eng.perToken.add(now, paceHalfLife, min(gap.Seconds()/weight, maxSample), weight)
+	eng.running.add(now, paceHalfLife, float64(sta.flights(now)), weight)
+	late := 0.0
+	if pauseTarget > 0 && gap > pauseTarget {
+		late = 1 / float64(events)
+	}
+	eng.late.add(now, pauseHalfLife, late, float64(events))
+	eng.position.add(now, pauseHalfLife, float64(wch.events), float64(events))
+	if sta.pending(now, bal.Speeds.At(now, &wch.edp).PromptRate) > 0 {
+		eng.lateBeside.add(now, pauseHalfLife, late, float64(events))
+	}
+}
--- /dev/null
+++ b/dispatch/speed_test.go
@@ -0,0 +1,148 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"papayacroft/catalog"
+)
+
+// paceStream is a stream of this daemon whose events come at equal intervals.
+type paceStream struct {
+	From, Every time.Duration
+	Events      int
+	// Beside is the number of prompt tokens that the engine has to read meanwhile.
+	Beside int
+}
+
+type paceEngine struct {
+	Streams []paceStream
+	// Before is the number of peers' requests while the streams run, Flights that at the choice.
+	Before, Flights, Tokens, Prefill int
+	Paces                            map[string]Pace
+	Age                              time.Duration
+	Restarted                        bool
+}
+
+type paceCase struct {
+	Name, Guards string
+	Unstated     bool
+	LeavingRate  float64 `yaml:"leavingRate"`
+	Engines      map[string]paceEngine
+	Request      struct {
+		Tokens, Prefill, Output int
+		Target                  time.Duration
+		Source                  string
+		Force                   bool
+	}
+	Want       string
+	Learnt     *bool
+	First, Run time.Duration
+}
+
+const pauseTarget = 180 * time.Millisecond
+
+// forecastTolerance is the relative difference between an expected time and the case's that is not a fault.
+const forecastTolerance = 0.01
+
+// TestChooseBySpeed checks one decision after the samples of each case of testdata/speed.yaml.
+func TestChooseBySpeed(t *testing.T) {
+	data, err := os.ReadFile("testdata/speed.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []paceCase
+	if err := yaml.Unmarshal(data, &cases); err != nil || len(cases) == 0 {
+		t.Fatalf("got %d cases, error %v; want some", len(cases), err)
+	}
+	for _, cse := range cases {
+		t.Run(cse.Name, func(t *testing.T) {
+			t.Log(cse.Guards)
+			// Ties are broken at random, so each case is decided several times.
+			for seed := range uint64(20) {
+				cse.check(t, cse.choose(rand.New(rand.NewPCG(seed, 1))))
+			}
+		})
+	}
+}
+
+func (cse *paceCase) check(t *testing.T, cho Choice) {
+	t.Helper()
+	got := ""
+	if cho.Endpoint != nil {
+		got = cho.Endpoint.ID
+	}
+	if got != cse.Want {
+		t.Fatalf("got endpoint %q (%s, second %s with %.2f, %+v), want %q", got, cho, cho.Second, cho.SecondScore, cho.Forecast, cse.Want)
+	}
+	if cse.Learnt != nil && cho.Forecast.Learnt != *cse.Learnt {
+		t.Errorf("got learnt %t, want %t", cho.Forecast.Learnt, *cse.Learnt)
+	}
+	for _, one := range []struct {
+		name      string
+		got, want time.Duration
+	}{{"first", cho.Forecast.First, cse.First}, {"run", cho.Forecast.Run, cse.Run}} {
+		if one.want > 0 && (one.got-one.want).Abs() > time.Duration(forecastTolerance*float64(one.want)) {
+			t.Errorf("got %s %s, want %s", one.name, one.got, one.want)
+		}
+	}
+}
+
+func (cse *paceCase) choose(rnd *rand.Rand) Choice {
+	cat := catalog.NewCatalog(1, nil, []catalog.Service{
+		{Name: "pool", Engine: &catalog.Engine{Slots: 24, CapacityTokens: 26845, TokensPerEvent: 4}},
+	}, nil)
+	vew := catalog.FleetView{Changes: 1, Endpoints: map[string]catalog.Endpoint{}, Leaving: map[string]catalog.LeavingMark{}}
+	bal := NewBalancer()
+	bal.FailureDomain = "a"
+	if !cse.Unstated {
+		bal.Speeds.SetStated("pool")
+	}
+	for id := range cse.Engines {
+		vew.Endpoints[id] = catalog.Endpoint{ID: id, Service: "pool", FailureDomain: "a", State: catalog.StateReady, Slots: 24, StartedAt: 1}
+	}
+	for id, eng := range cse.Engines {
+		edp := vew.Endpoints[id]
+		eng.apply(bal, &edp)
+		if eng.Restarted {
+			edp.StartedAt = 2
+			vew.Endpoints[id] = edp
+		}
+	}
+	bal.Speeds.Forget(testNow, vew)
+	const exposure = 1e6
+	*bal.Speeds.Leaving.service("pool") = leavingRate{left: cse.LeavingRate * exposure, exposure: exposure}
+	req := Request{
+		Service: "pool", Work: Work{Tokens: cse.Request.Tokens, Prefill: cse.Request.Prefill, Output: cse.Request.Output},
+		Target: cse.Request.Target, Source: cse.Request.Source, Force: cse.Request.Force,
+	}
+	return bal.Choose(testNow, rnd, cat, vew, &req)
+}
+
+// apply replays the case's streams and the reports of peers.
+func (eng *paceEngine) apply(bal *Balancer, edp *catalog.Endpoint) {
+	for _, str := range eng.Streams {
+		from := testNow.Add(-str.From)
+		bal.SetPeerUsage(from, "other", map[string]Usage{edp.ID: {Flights: eng.Before}})
+		flt := bal.Begin(edp.ID, Work{Prefill: str.Beside})
+		playStream(bal, edp, from, str.Every, str.Events)
+		bal.End(flt)
+	}
+	bal.SetPeerUsage(testNow, "other", map[string]Usage{edp.ID: {Flights: eng.Flights, Tokens: eng.Tokens, Prefill: eng.Prefill}})
+	for name, pce := range eng.Paces {
+		pce.Born = edp.StartedAt
+		bal.SetPeerUsage(testNow.Add(-eng.Age), name, map[string]Usage{edp.ID: {Pace: &pce}})
+	}
+}
+
+// playStream replays a stream that continues from a copy, so that it says nothing about the reading of prompts.
+func playStream(bal *Balancer, edp *catalog.Endpoint, from time.Time, every time.Duration, events int) {
+	wch := bal.Watch(from, edp, Work{})
+	for i := range events {
+		bal.Observe(from.Add(time.Duration(i)*every), wch, 1, 4, pauseTarget)
+	}
+}
