Take samples of engines' speeds from streams and share them

Dispatch learns speeds from samples. Each stream takes them at its engine while it runs, and gateway.work carries the daemon's own time per token with its weight, age and the engine's start time to the other users of the engine. A moved generation's destination is chosen by the output that is left.

--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -142,6 +142,7 @@
 		defer srv.mutex.Unlock()
 		srv.Budget.Daemons = len(dmn.Exchange.Members())
 		srv.Balancer.Forget(srv.Now(), snp.Fleet)
+		srv.Balancer.Speeds.Forget(srv.Now(), snp.Fleet)
 		srv.Throttle.Forget(srv.Now())
 		srv.Permits.Forget(srv.Now())
 	}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -220,7 +220,7 @@
 
 func (one *run) destination(source *catalog.Endpoint, excluded map[string]bool) dispatch.Choice {
 	return one.server.decide(one.server.Now(), &dispatch.Request{
-		Service: one.service, Work: dispatch.Work{Tokens: one.work.Tokens}, Target: one.route.Target,
+		Service: one.service, Work: dispatch.Work{Tokens: one.work.Tokens, Output: one.outputLeft()}, Target: one.route.Target,
 		Source: source.FailureDomain, Excluded: excluded, Force: true,
 	})
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -338,14 +338,21 @@
 func (srv *Server) LocalUsage() map[string]dispatch.Usage {
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
-	return srv.Balancer.LocalUsage()
+	own := srv.Balancer.LocalUsage()
+	for id, usg := range own {
+		usg.Pace = srv.Balancer.Speeds.OwnPace(srv.Now(), id)
+		own[id] = usg
+	}
+	return own
 }
 
 // UsageAt returns this daemon's work at an endpoint.
 func (srv *Server) UsageAt(endpoint string) dispatch.Usage {
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
-	return srv.Balancer.UsageAt(endpoint)
+	usg := srv.Balancer.UsageAt(endpoint)
+	usg.Pace = srv.Balancer.Speeds.OwnPace(srv.Now(), endpoint)
+	return usg
 }
 
 // SetPeerUsage records another daemon's work at endpoints.
@@ -410,6 +417,7 @@
 	srv.learnFromAnswer(now, id, ans)
 	if ans.Load != nil {
 		srv.Balancer.Reported(now, id, ans.Load.Running, ans.Load.Waiting)
+		srv.learnSlowness(now, id, ans.Load)
 	}
 	if ok {
 		srv.Balancer.Succeeded(now, id)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -43,6 +43,8 @@
 	link     *Link
 	flight   *dispatch.Flight
 	endpoint *catalog.Endpoint
+	// watch takes the samples of the engine's speed.
+	watch *dispatch.Watch
 	// beganAt is when the head of the engine's answer arrived. hasEvent is true from its first event on.
 	beganAt  time.Time
 	hasEvent bool
@@ -120,7 +122,7 @@
 // expectedWork returns the memory and prefill that a generation is expected to need.
 func expectedWork(rqs *request) dispatch.Work {
 	output := int(usualOutputShare * float64(rqs.MaxTokens))
-	return dispatch.Work{Tokens: rqs.PromptTokens + output, Prefill: rqs.PromptTokens}
+	return dispatch.Work{Tokens: rqs.PromptTokens + output, Prefill: rqs.PromptTokens, Output: output}
 }
 
 // start sends the request to one engine after another until one begins to answer.
@@ -201,6 +203,7 @@
 		out.HeadTimeout = time.Duration(headShare * float64(rqs.route.Target))
 		out.GiveUp = srv.giveUp(rqs, edp.ID, wrk)
 	}
+	wch := srv.watch(edp, wrk)
 	flt := srv.begin(edp.ID, wrk)
 	lnk, err := Open(ctx, edp.Address, out)
 	var sendErr *SendError
@@ -233,7 +236,7 @@
 		lnk.Close()
 		return outcomeUnknown, err
 	}
-	one.link, one.endpoint, one.flight = lnk, edp, flt
+	one.link, one.endpoint, one.flight, one.watch = lnk, edp, flt, wch
 	one.beganAt, one.hasEvent, one.exposure = srv.Now(), false, exposure
 	srv.streams.add(one)
 	return outcomeAnswered, nil
@@ -323,12 +326,15 @@
 	now := one.server.Now()
 	if count > 0 {
 		one.noteEvents(now)
+		one.sample(now, count)
 	}
 	one.observe(now)
 	if _, err := one.writer.Write(events); err != nil {
 		return err
 	}
-	return one.control.Flush()
+	err := one.control.Flush()
+	one.skipSlowWrite(now)
+	return err
 }
 
 // observe records the time at which events arrived, for metrics.
