--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -25,6 +25,8 @@
 	// priorEvents is the weight in events of the service's mean share of late events. In a slow period of an engine's machine
 	// a few events in a row are late; a single period is not to decide, and one engine not to make all look alike.
 	priorEvents = 30
+	// meansLifetime is how long the means of a service are used, a small part of paceHalfLife.
+	meansLifetime = 100 * time.Millisecond
 	// maxSample limits the time per token of one sample in seconds; a longer interval is a stall, not a speed.
 	maxSample = 0.25
 )
@@ -106,20 +108,21 @@
 	engines map[string]*engineSpeed
 	// stated holds the services of which an endpoint has stated how slow its machine is.
 	stated map[string]bool
-	// means is the mean of the service that was asked for last, and the time for which it holds.
-	means     speedMeans
-	meansFor  string
-	meansTime time.Time
+	// means are the latest means by service.
+	means map[string]speedMeans
 }
 
 // speedMeans are the means over the engines of a service with a fresh estimate.
 type speedMeans struct {
+	// at is when they were computed.
+	at time.Time
+
 	perToken, perPrompt, late, lateBeside float64
 }
 
 // NewSpeeds returns speeds without any sample.
 func NewSpeeds() *Speeds {
-	return &Speeds{Leaving: NewLeavingRates(), engines: map[string]*engineSpeed{}, stated: map[string]bool{}}
+	return &Speeds{Leaving: NewLeavingRates(), engines: map[string]*engineSpeed{}, stated: map[string]bool{}, means: map[string]speedMeans{}}
 }
 
 // SetStated records that an endpoint of the service has stated how slow its machine is. From then on the speeds of the
@@ -240,11 +243,11 @@
 	return res
 }
 
-// serviceMeans returns the means over the engines of a service. All engines that are compared in one choice need them, so
-// those of the latest time are kept.
+// serviceMeans returns the means over the engines of a service. Each engine in each choice and each sample needs them, so
+// they are computed once in meansLifetime.
 func (spd *Speeds) serviceMeans(now time.Time, service string) speedMeans {
-	if spd.meansFor == service && spd.meansTime.Equal(now) {
-		return spd.means
+	if mns, ok := spd.means[service]; ok && now.Sub(mns.at).Abs() < meansLifetime {
+		return mns
 	}
 	var perToken, perPrompt, late, lateBeside average
 	for _, eng := range spd.engines {
@@ -261,17 +264,17 @@
 		late.add(now, pauseHalfLife, eng.late.mean(), eng.late.weight*eng.late.factor(now, pauseHalfLife))
 		lateBeside.add(now, pauseHalfLife, eng.lateBeside.mean(), eng.lateBeside.weight*eng.lateBeside.factor(now, pauseHalfLife))
 	}
-	spd.means = speedMeans{perToken: defaultPerToken, perPrompt: 1.0 / prefillTokensPerSecond}
+	mns := speedMeans{at: now, perToken: defaultPerToken, perPrompt: 1.0 / prefillTokensPerSecond}
 	if perToken.weight > 0 {
-		spd.means.perToken = perToken.mean()
+		mns.perToken = perToken.mean()
 	}
 	if perPrompt.weight > 0 {
-		spd.means.perPrompt = perPrompt.mean()
+		mns.perPrompt = perPrompt.mean()
 	}
-	spd.means.late = late.mixed(now, pauseHalfLife, 0, priorEvents)
-	spd.means.lateBeside = lateBeside.mixed(now, pauseHalfLife, 0, priorEvents)
-	spd.meansFor, spd.meansTime = service, now
-	return spd.means
+	mns.late = late.mixed(now, pauseHalfLife, 0, priorEvents)
+	mns.lateBeside = lateBeside.mixed(now, pauseHalfLife, 0, priorEvents)
+	spd.means[service] = mns
+	return mns
 }
 
 // mean returns the weighted mean; 0 without values.
@@ -284,6 +287,7 @@
 
 // Forget removes engines that are not in the fleet, and services without endpoints.
 func (spd *Speeds) Forget(now time.Time, flt catalog.FleetView) {
+	clear(spd.means)
 	listed := map[string]bool{}
 	for _, edp := range flt.Endpoints {
 		listed[edp.Service] = true
