Test the learnt rate at which engines leave

The rate weighs the expected run time in the choice of an engine. The test replays waves of leaving engines as under the target load.

--- a/dispatch/speed_test.go
+++ b/dispatch/speed_test.go
@@ -146,3 +146,63 @@
 		bal.Observe(from.Add(time.Duration(i)*every), wch, 1, 4, pauseTarget)
 	}
 }
+
+// The rate at which engines leave must be learnt from marks that appear, each counted once, or it follows the number of
+// marks that are kept; one engine that leaves early must not set it.
+func TestLeavingRate(t *testing.T) {
+	lvr := NewLeavingRates()
+	edps := map[string]catalog.Endpoint{}
+	for i := range 48 {
+		id := string(rune('A' + i))
+		edps[id] = catalog.Endpoint{ID: id, Service: "pool", State: catalog.StateReady, StartedAt: 1}
+	}
+	vew := catalog.FleetView{Changes: 1, Endpoints: edps, Leaving: map[string]catalog.LeavingMark{}}
+	now := testNow
+	lvr.Update(now, vew)
+	if got, want := lvr.Rate("pool"), minLeavingRate; got != want {
+		t.Errorf("got a rate of %.3f/s before any engine leaves, want %.3f/s", got, want)
+	}
+	first := NewLeavingRates()
+	first.Update(now, vew)
+	first.Update(now, catalog.FleetView{Changes: 2, Endpoints: edps, Leaving: map[string]catalog.LeavingMark{"A": {At: now, StartedAt: 1}}})
+	if got, want := first.Rate("pool"), 2*minLeavingRate; got > want {
+		t.Errorf("got a rate of %.3f/s after one engine left, want %.3f/s at most", got, want)
+	}
+	// Every 3.3 s a sixth of the engines leaves and starts again under the same ids; marks stay for 2 s. The view is read ten
+	// times a second.
+	for tick := range 600 {
+		now = now.Add(100 * time.Millisecond)
+		edps, marks := map[string]catalog.Endpoint{}, map[string]catalog.LeavingMark{}
+		for id, edp := range vew.Endpoints {
+			edps[id] = edp
+		}
+		for id, mrk := range vew.Leaving {
+			if now.Sub(mrk.At) < 2*time.Second {
+				marks[id] = mrk
+				continue
+			}
+			edp := edps[id]
+			edp.StartedAt++
+			edps[id] = edp
+		}
+		if tick%33 == 0 {
+			for i := range 8 {
+				id := string(rune('A' + (tick/33*8+i)%48))
+				marks[id] = catalog.LeavingMark{At: now, StartedAt: edps[id].StartedAt}
+			}
+		}
+		vew = catalog.FleetView{Changes: vew.Changes + 1, Endpoints: edps, Leaving: marks}
+		lvr.Update(now, vew)
+	}
+	// A sixth in 3.3 s is 0.0505 a second and engine; engines that leave do not count as ready for 2 of 3.3 s.
+	if got, least, most := lvr.Rate("pool"), 0.045, 0.06; got < least || got > most {
+		t.Errorf("got a rate of %.3f/s, want between %.3f/s and %.3f/s", got, least, most)
+	}
+	for range 20 {
+		now = now.Add(10 * time.Second)
+		lvr.Update(now, vew)
+	}
+	if got, want := lvr.Rate("pool"), 1.1*minLeavingRate; got > want {
+		t.Errorf("got a rate of %.3f/s long after engines left, want %.3f/s at most", got, want)
+	}
+}
