Weigh the current slowness of plain endpoints, and drop reports that do not change

A call of 30 ms on a machine that is busy with other workloads takes 75 ms; its load now counts by the factor that the endpoint stated within 300 ms. Reports of endpoints that state it change many times a second, so one that stays the same for 2 s is stale and no longer counts.

--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -140,6 +140,8 @@
 	At time.Time
 	// ownFlights is the number of requests that this daemon had in flight there when it received the report.
 	ownFlights int
+	// changedAt is when the figures last differed from those before.
+	changedAt time.Time
 }
 
 // Balancer tracks the load and the failures of each endpoint and chooses endpoints by them.
@@ -161,6 +163,9 @@
 	// peers holds the usage that the other daemons last reported, by the name of the daemon.
 	peers  map[string]peerUsage
 	report Report
+	// slowness is how slow the endpoint's machine is, as it last stated at slownessAt; 0 if it has never stated that.
+	slowness   float64
+	slownessAt time.Time
 	// failures and successes are counts that decay by failureHalfLife; countedAt is when they last decayed.
 	failures  float64
 	successes float64
@@ -241,7 +246,7 @@
 // rate returns the score of an endpoint, lower values being better, and whether the endpoint is full.
 func (bal *Balancer) rate(now time.Time, sta *endpoint, edp *catalog.Endpoint, engine *catalog.Engine, req *Request) (score float64, full bool) {
 	use := sta.utilization(now, edp, engine, req)
-	score, full = use, use > req.limit()
+	score, full = use*sta.slowFactor(now), use > req.limit()
 	if engine != nil {
 		fct := bal.forecast(now, sta, edp, engine, req)
 		score, full = memoryWeight*use+fct.score(), full || fct.delay > delayLimit
@@ -312,7 +317,11 @@
 // Reported records a load report of an endpoint.
 func (bal *Balancer) Reported(now time.Time, id string, running, waiting int) {
 	sta := bal.endpoint(id)
-	sta.report = Report{Running: running, Waiting: waiting, At: now, ownFlights: sta.own.Flights}
+	changedAt := sta.report.changedAt
+	if changedAt.IsZero() || running != sta.report.Running || waiting != sta.report.Waiting {
+		changedAt = now
+	}
+	sta.report = Report{Running: running, Waiting: waiting, At: now, ownFlights: sta.own.Flights, changedAt: changedAt}
 }
 
 // Succeeded counts an answer of an endpoint.
--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -76,7 +76,7 @@
 			flights += per.usage.Flights
 		}
 	}
-	if now.Sub(sta.report.At) < reportLifetime {
+	if sta.hasReport(now) {
 		// The report counts the requests of all daemons when it was made, so only the change in the number of this
 		// daemon's requests since then is added.
 		flights = max(flights, sta.report.Running+sta.report.Waiting+sta.own.Flights-sta.report.ownFlights)
--- a/gateway/speed.go
+++ b/gateway/speed.go
@@ -17,10 +17,11 @@
 )
 
 // learnSlowness records how slow an endpoint's machine is, if the endpoint states that; the caller holds the mutex.
-func (srv *Server) learnSlowness(_ time.Time, id string, load *Load) {
+func (srv *Server) learnSlowness(now time.Time, id string, load *Load) {
 	if load.Slowness <= 0 {
 		return
 	}
+	srv.Balancer.ReportedSlowness(now, id, load.Slowness)
 	if edp, ok := srv.Snapshots.Snapshot().Fleet.Endpoints[id]; ok && !srv.Balancer.Speeds.Enabled(edp.Service) {
 		srv.Balancer.Speeds.SetStated(edp.Service)
 		srv.Logger.WithField(fieldEndpoint, id).WithField("service", edp.Service).Info("speeds of the service's engines are learnt: an endpoint states how slow its machine is")
