Log and export expected times, and leave generations that end in time

Operators could not see what a choice by learnt speeds was based on. request sent has the expected time to the first event and run time, the probabilities of pauses, whether the engine's own speed was known and the second-best engine; stream complete has the expected and the actual times; metrics have the ratios and, by service, the time per token. A generation on a leaving engine that ends before, even with its greatest output, is not moved.

--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -14,6 +14,9 @@
 	latePenalty = 1.0
 	// minTarget bounds the target for the first event from below; copies and routes without a target would divide by zero.
 	minTarget = time.Second
+	// endsShare is the part of the time until an engine leaves within which a generation is to end at the usual speed, in
+	// order not to be moved. In slow periods of the engine's machine it takes 2.5 times as long.
+	endsShare = 0.4
 )
 
 // Forecast is what a stream is expected to meet at an engine.
@@ -117,3 +120,13 @@
 func ofSeconds(num float64) time.Duration {
 	return time.Duration(min(num, time.Hour.Seconds()) * float64(time.Second))
 }
+
+// EndsBefore reports whether a generation at an engine certainly ends before the engine leaves: if even its greatest
+// possible output takes a small part of that time at the learnt speed.
+func (bal *Balancer) EndsBefore(now time.Time, edp *catalog.Endpoint, maxOutput int, leavesIn time.Duration) bool {
+	if !bal.Speeds.Enabled(edp.Service) {
+		return false
+	}
+	spd := bal.Speeds.At(now, edp)
+	return spd.Learnt && float64(maxOutput)*spd.PerToken <= endsShare*leavesIn.Seconds()
+}
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -277,6 +277,33 @@
 	return mns
 }
 
+// TokenTimes are times per output token in seconds over the engines of a service with a fresh estimate.
+type TokenTimes struct {
+	Min, Mean, Max float64
+}
+
+// Ranges returns the times per output token by service.
+func (spd *Speeds) Ranges(now time.Time) map[string]TokenTimes {
+	all := map[string]TokenTimes{}
+	counts := map[string]float64{}
+	for _, eng := range spd.engines {
+		sum, weight := eng.learnt(now)
+		if weight <= 0 || eng.service == "" {
+			continue
+		}
+		perToken := sum / weight
+		rng, ok := all[eng.service]
+		if !ok {
+			rng.Min = perToken
+		}
+		counts[eng.service]++
+		rng.Min, rng.Max = min(rng.Min, perToken), max(rng.Max, perToken)
+		rng.Mean += (perToken - rng.Mean) / counts[eng.service]
+		all[eng.service] = rng
+	}
+	return all
+}
+
 // mean returns the weighted mean; 0 without values.
 func (avg *average) mean() float64 {
 	if avg.weight <= 0 {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -33,6 +33,7 @@
 	limits *prometheus.CounterVec
 	calls, firstEvents,
 	pauses prometheus.Histogram
+	speeds *speedMetrics
 }
 
 // NewMetrics returns metrics in a new registry.
@@ -63,6 +64,7 @@
 	}
 	met.registry.MustRegister(met.requests, met.sends, met.moves, met.limits, met.calls, met.firstEvents, met.pauses,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	met.speeds = newSpeedMetrics(met.registry)
 	return met
 }
 
@@ -102,6 +104,7 @@
 		defer dmn.Server.mutex.Unlock()
 		return float64(dmn.Server.Throttle.Limited(dmn.Server.Now()))
 	})
+	met.registry.MustRegister(newTokenTimes(dmn.Server))
 	gauge("draining", "1 from the signal to stop on.", func(*control.Snapshot) float64 {
 		if dmn.Server.Draining() {
 			return 1
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -154,7 +154,7 @@
 	}
 	starts := srv.moveStarts(&source, &rpt)
 	srv.Logger.WithFields(logrus.Fields{fieldEndpoint: source.ID, "own": len(runs), "all": len(rpt.Runs), "leavesIn": rpt.LeavesIn.String()}).Info("moving generations")
-	for _, one := range runs {
+	for _, one := range srv.leaveToEnd(&source, &rpt, runs) {
 		go func() {
 			retry.Sleep(one.http.Context(), starts[one.ID])
 			one.move(&source)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -143,7 +143,7 @@
 	rqs.logger.WithFields(logrus.Fields{
 		fieldEndpoint: cho.Endpoint.ID, "choice": cho.String(), fieldOutcome: res.String(), "status": status,
 		fieldElapsed: srv.Now().Sub(rqs.begun), "error": errorText(err),
-	}).Info("request sent")
+	}).WithFields(forecastFields(cho)).Info("request sent")
 }
 
 // relayAnswer writes an endpoint's complete answer to the caller.
--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -230,6 +230,8 @@
 		sit.write(args[1], "ready", sit.number(args[2]))
 	case "says": // says ENGINE: it says from now on in all its answers that it leaves
 		sit.engines[args[1]].SetSaysLeaving()
+	case "states": // states ENGINE LOAD: its answers report this load from now on
+		sit.engines[args[1]].SetStatedLoad(args[2])
 	case "reborn": // reborn ENGINE NEW: a new incarnation under its id and address, whose runs count as those of NEW
 		sit.restartEngine(args[1], args[2])
 	case "leaves": // leaves ENGINE: the engine's report says from now on that it leaves
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -45,6 +45,11 @@
 	endpoint *catalog.Endpoint
 	// watch takes the samples of the engine's speed.
 	watch *dispatch.Watch
+	// forecast is what was expected at the first engine, to which the request was sent at sentAt. resumed is true if another
+	// engine has continued the stream.
+	forecast dispatch.Forecast
+	sentAt   time.Time
+	resumed  bool
 	// beganAt is when the head of the engine's answer arrived. hasEvent is true from its first event on.
 	beganAt  time.Time
 	hasEvent bool
@@ -150,6 +155,7 @@
 	if trs.condemned = one.server.refuseCondemned(one.server.Now(), one.request); trs.condemned != nil {
 		return false
 	}
+	one.forecast, one.sentAt = cho.Forecast, one.server.Now()
 	res, err := one.open(ctx, cho.Endpoint, Forward{LastEvent: one.LastEvent})
 	status := 0
 	if res == outcomeAnswered {
@@ -372,7 +378,7 @@
 	one.logger.WithFields(logrus.Fields{
 		fieldEndpoint: one.endpoint.ID, fieldEvents: one.events, fieldElapsed: one.server.Now().Sub(one.begun),
 		"first": one.firstAt.Sub(one.begun), "pause": one.pause, "maxTokens": one.MaxTokens, "hint": one.LengthHint, "prompt": one.PromptTokens,
-	}).Info("stream complete")
+	}).WithFields(one.compareForecast()).Info("stream complete")
 	return nil
 }
 
@@ -407,6 +413,7 @@
 // answer but a stream counts as unknown.
 func (one *run) reopen(ctx context.Context, from, edp *catalog.Endpoint, fwd Forward) outcome {
 	one.detach()
+	one.resumed = true
 	one.mutex.Lock()
 	fwd.LastEvent = one.lastEvent
 	one.moving, one.copy, one.stopping, one.ended = nil, nil, false, false
--- a/standin/siteengine.go
+++ b/standin/siteengine.go
@@ -97,6 +97,8 @@
 	refuseCopies bool
 	// rateLimit is the value of the header Server-Limit in answers; empty means that they have none.
 	rateLimit string
+	// statedLoad is the value of the header Server-Load in answers; empty means that they have none.
+	statedLoad string
 	// saysLeaving is true if all answers have the header Server-Leaving.
 	saysLeaving bool
 }
@@ -145,6 +147,13 @@
 	sen.rateLimit = perSecond
 }
 
+// SetStatedLoad makes the engine report this load in its answers; an empty one means none.
+func (sen *SiteEngine) SetStatedLoad(load string) {
+	sen.mutex.Lock()
+	defer sen.mutex.Unlock()
+	sen.statedLoad = load
+}
+
 // RefuseCopies makes the engine refuse copies of generations with status 503, as if its memory were full.
 func (sen *SiteEngine) RefuseCopies() {
 	sen.mutex.Lock()
@@ -317,6 +326,9 @@
 	if sen.rateLimit != "" {
 		hdr.Set("Server-Limit", sen.rateLimit)
 	}
+	if sen.statedLoad != "" {
+		hdr.Set("Server-Load", sen.statedLoad)
+	}
 	sen.mutex.Unlock()
 	if mode == EngineWrongAttemptID {
 		hdr.Set("Attempt-Id", "another")
