Bound what peers report of speeds, and prove the mechanisms of learnt speeds

A weight beyond what a daemon's streams can have, or an age beyond the range of durations, made an estimate infinite or its age negative. Weights are bounded, ages compared first.

--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -27,6 +27,9 @@
 	priorEvents = 30
 	// meansLifetime is how long the means of a service are used, a small part of paceHalfLife.
 	meansLifetime = 100 * time.Millisecond
+	// maxPeerWeight limits the weight in tokens of what a peer reports. An engine with 24 slots gives less than 4,000 tokens a
+	// second, so that one daemon's weight stays below 30,000.
+	maxPeerWeight = 100_000
 	// maxSample limits the time per token of one sample in seconds; a longer interval is a stall, not a speed.
 	maxSample = 0.25
 )
@@ -154,10 +157,11 @@
 
 // SetPeer records the pace of an engine that a peer reports; running is the number of requests at the engine now.
 func (spd *Speeds) SetPeer(now time.Time, peer, id string, pce Pace, running int) {
-	age := time.Duration(max(0, pce.AgeMs)) * time.Millisecond
-	if !(pce.Ms > 0) || !(pce.Weight > 0) || math.IsInf(pce.Ms, 0) || math.IsInf(pce.Weight, 0) || age >= paceLifetime {
+	if !(pce.Ms > 0) || !(pce.Weight > 0) || pce.AgeMs >= paceLifetime.Milliseconds() {
 		return
 	}
+	age := time.Duration(max(0, pce.AgeMs)) * time.Millisecond
+	weight := min(pce.Weight, maxPeerWeight)
 	eng := spd.engine(id, "", pce.Born)
 	if eng == nil {
 		return
@@ -165,8 +169,8 @@
 	if eng.peers == nil {
 		eng.peers = map[string]peerPace{}
 	}
-	eng.peers[peer] = peerPace{perToken: min(pce.Ms/1000, maxSample), weight: pce.Weight, at: now.Add(-age)}
-	eng.running.add(now, paceHalfLife, float64(running), pce.Weight)
+	eng.peers[peer] = peerPace{perToken: min(pce.Ms/1000, maxSample), weight: weight, at: now.Add(-age)}
+	eng.running.add(now, paceHalfLife, float64(running), weight)
 }
 
 // OwnPace returns what this daemon's streams show of an engine's speed; nil if there is no fresh sample.
--- a/dispatch/speed_test.go
+++ b/dispatch/speed_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"encoding/json"
 	"math/rand/v2"
 	"os"
 	"testing"
@@ -206,3 +207,42 @@
 		t.Errorf("got a rate of %.3f/s long after engines left, want %.3f/s at most", got, want)
 	}
 }
+
+// What a peer reports must not break estimates: figures that no stream can give are ignored, and a report without work
+// removes the peer's work but keeps its figures.
+func TestPaceOfPeers(t *testing.T) {
+	edp := catalog.Endpoint{ID: "e", Service: "pool", Slots: 24, StartedAt: 5}
+	vew := catalog.FleetView{Endpoints: map[string]catalog.Endpoint{"e": edp}}
+	for _, cse := range []struct {
+		message string
+		learnt  bool
+	}{
+		{`{"flights":2}`, false},
+		{`{"flights":2,"pace":{"ms":20,"weight":100,"born":5}}`, true},
+		{`{"flights":0,"pace":{"ms":20,"weight":100,"born":5}}`, true},
+		{`{"flights":2,"pace":{"ms":20,"weight":100,"born":4}}`, false},
+		{`{"flights":2,"pace":{"ms":20,"weight":100,"born":5,"ageMs":8000}}`, false},
+		{`{"flights":2,"pace":{"ms":20,"weight":0,"born":5}}`, false},
+		{`{"flights":2,"pace":{"ms":-20,"weight":100,"born":5}}`, false},
+		{`{"flights":2,"pace":{"weight":100,"born":5}}`, false},
+		{`{"flights":2,"pace":{"ms":20,"weight":100,"born":5,"ageMs":-9000000000000000000}}`, true},
+		{`{"flights":2,"pace":{"ms":20,"weight":100,"born":5,"ageMs":9000000000000000000}}`, false},
+		{`{"flights":2,"pace":{"ms":1e308,"weight":1e308,"born":5}}`, true},
+	} {
+		bal := NewBalancer()
+		bal.Speeds.SetStated("pool")
+		var usg Usage
+		if err := json.Unmarshal([]byte(cse.message), &usg); err != nil {
+			t.Fatal(err)
+		}
+		bal.SetPeerUsage(testNow, "two", map[string]Usage{"e": usg})
+		bal.Speeds.Forget(testNow, vew)
+		spd := bal.Speeds.At(testNow, &edp)
+		if spd.Learnt != cse.learnt || !(spd.PerToken > 0 && spd.PerToken <= maxSample) || !(spd.PromptRate > 0) || !(spd.Running >= 0 && spd.Running <= 24) {
+			t.Errorf("%s: got %+v, want learnt %t and possible figures", cse.message, spd, cse.learnt)
+		}
+		if got, want := bal.endpoint("e").flights(testNow), usg.Flights; got != want {
+			t.Errorf("%s: got %d requests of the peer, want %d", cse.message, got, want)
+		}
+	}
+}
