Keep idle engines from looking full by a learnt prompt rate

After a few slow reads, all engines of a service could look unable to begin a stream in time, and requests were refused until the samples had expired. An engine without prompts to read is full by the fixed rate only. What run time and pauses add to a score stays below the penalty of unreachable endpoints.

go test ./dispatch passes; readsSlowlyButIdle, readsSlowlyAndWaits and readsSlowly each fail without their part (tried one by one).

--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -249,7 +249,7 @@
 	score, full = use*sta.slowFactor(now), use > req.limit()
 	if engine != nil {
 		fct := bal.forecast(now, sta, edp, engine, req)
-		score, full = memoryWeight*use+fct.score(), full || fct.delay > delayLimit
+		score, full = memoryWeight*use+fct.score(), full || fct.full
 	}
 	score += failureWeight * sta.failureShare(now)
 	switch {
--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -12,6 +12,8 @@
 	// of other streams that the prompt makes late. A late stream loses as much by a pause as by its first event, whose
 	// target has a weight of 1.
 	latePenalty = 1.0
+	// riskLimit limits what run time and pauses add to a score, so that an unreachable endpoint ranks behind all others.
+	riskLimit = unreachablePenalty / 2
 	// minTarget bounds the target for the first event from below; copies and routes without a target would divide by zero.
 	minTarget = time.Second
 	// endsShare is the part of the time until an engine leaves within which a generation is to end at the usual speed, in
@@ -31,13 +33,14 @@
 	// Learnt is true if there is a fresh estimate of the engine's speed; otherwise the means of its service apply.
 	Learnt bool
 
-	// delay is First as a part of its target.
+	// delay is First as a part of its target. full is true if the stream would begin so late that the engine is full.
 	delay float64
+	full  bool
 }
 
 // score returns the forecast's part of an engine's score.
 func (fct *Forecast) score() float64 {
-	return fct.delay + fct.Leaves + latePenalty*(fct.Pause+fct.Beside)
+	return fct.delay + min(riskLimit, fct.Leaves+latePenalty*(fct.Pause+fct.Beside))
 }
 
 // forecast returns what the request is expected to meet at an engine. For services without learnt speeds it has the time to
@@ -45,10 +48,11 @@
 func (bal *Balancer) forecast(now time.Time, sta *endpoint, edp *catalog.Endpoint, engine *catalog.Engine, req *Request) Forecast {
 	if !bal.Speeds.Enabled(edp.Service) {
 		delay := sta.firstEventDelay(now, req)
-		return Forecast{delay: delay, First: ofSeconds(delay * max(req.Target, minTarget).Seconds())}
+		return Forecast{delay: delay, full: delay > delayLimit, First: ofSeconds(delay * max(req.Target, minTarget).Seconds())}
 	}
 	spd := bal.Speeds.At(now, edp)
-	first := (sta.pending(now, spd.PromptRate) + float64(req.Prefill)) / spd.PromptRate
+	pending, target := sta.pending(now, spd.PromptRate), max(req.Target, minTarget).Seconds()
+	first := (pending + float64(req.Prefill)) / spd.PromptRate
 	flights := sta.flights(now)
 	perToken := spd.PerToken
 	if spd.Learnt {
@@ -61,8 +65,11 @@
 	run := float64(req.Output) * perToken
 	fct := Forecast{
 		First: ofSeconds(first), Run: ofSeconds(run), Learnt: spd.Learnt,
-		Leaves: run * bal.Speeds.Leaving.Rate(edp.Service), delay: first / max(req.Target, minTarget).Seconds(),
+		Leaves: run * bal.Speeds.Leaving.Rate(edp.Service), delay: first / target,
 	}
+	// An engine that has no prompt to read is not full by a learnt rate: after a few slow reads all engines might look full,
+	// and no request would show that they are not.
+	fct.full = fct.delay > delayLimit && (pending > 0 || float64(req.Prefill) > delayLimit*target*prefillTokensPerSecond)
 	perEvent := float64(max(1, engine.EventTokens(1)))
 	fct.Pause = anyOf(spd.Late, float64(req.Output)/perEvent)
 	// Streams that are late already are not made late by the prompt.
--- a/dispatch/speed_test.go
+++ b/dispatch/speed_test.go
@@ -16,6 +16,9 @@
 type paceStream struct {
 	From, Every time.Duration
 	Events      int
+	// Prompt is the number of prompt tokens that the engine reads before the first event, which comes First after From.
+	Prompt int
+	First  time.Duration
 	// Beside is the number of prompt tokens that the engine has to read meanwhile.
 	Beside int
 }
@@ -130,7 +133,7 @@
 		from := testNow.Add(-str.From)
 		bal.SetPeerUsage(from, "other", map[string]Usage{edp.ID: {Flights: eng.Before}})
 		flt := bal.Begin(edp.ID, Work{Prefill: str.Beside})
-		playStream(bal, edp, from, str.Every, str.Events)
+		str.play(bal, edp, from)
 		bal.End(flt)
 	}
 	bal.SetPeerUsage(testNow, "other", map[string]Usage{edp.ID: {Flights: eng.Flights, Tokens: eng.Tokens, Prefill: eng.Prefill}})
@@ -140,11 +143,11 @@
 	}
 }
 
-// playStream replays a stream that continues from a copy, so that it says nothing about the reading of prompts.
-func playStream(bal *Balancer, edp *catalog.Endpoint, from time.Time, every time.Duration, events int) {
-	wch := bal.Watch(from, edp, Work{})
-	for i := range events {
-		bal.Observe(from.Add(time.Duration(i)*every), wch, 1, 4, pauseTarget)
+// play replays a stream. Without a prompt, it continues from a copy and says nothing about the reading of prompts.
+func (str *paceStream) play(bal *Balancer, edp *catalog.Endpoint, from time.Time) {
+	wch := bal.Watch(from, edp, Work{Prefill: str.Prompt})
+	for i := range str.Events {
+		bal.Observe(from.Add(str.First+time.Duration(i)*str.Every), wch, 1, 4, pauseTarget)
 	}
 }
 
