--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -329,13 +329,13 @@
 		}
 	}
 	for id, eng := range spd.engines {
-		if edp, ok := flt.Endpoints[id]; !ok || edp.StartedAt > eng.bornAt {
+		edp, ok := flt.Endpoints[id]
+		if !ok || edp.StartedAt > eng.bornAt {
 			delete(spd.engines, id)
 			continue
-		} else {
-			// Paces of peers do not name the service.
-			eng.service = edp.Service
 		}
+		// Paces of peers do not name the service.
+		eng.service = edp.Service
 		for name, per := range eng.peers {
 			if now.Sub(per.at) >= paceLifetime {
 				delete(eng.peers, name)
--- a/gateway/speed_test.go
+++ b/gateway/speed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -50,7 +51,7 @@
 				srv.Balancer.Observe(now.Add(time.Duration(i-50)*40*time.Millisecond), wch, 1, 4, 0)
 			}
 			one := &run{
-				request: &request{Call: Call{MaxTokens: cse.maxTokens}, service: "pool", logger: log, http: httptest.NewRequest("POST", "/", nil)},
+				request: &request{Call: Call{MaxTokens: cse.maxTokens}, service: "pool", logger: log, http: httptest.NewRequest(http.MethodPost, "/", nil)},
 				server:  srv, events: cse.events, endpoint: &source,
 			}
 			if !one.beginMove() {
