Forget starts of engines that only a peer has told of

A start time beyond any real one, once reported with a pace, kept an engine without estimates until its entry ended. Such a start is now dropped when its figures have expired. Intervals that are no samples have a test.

go test ./dispatch passes; TestUnknownStartIsForgotten and TestIntervalsThatAreNoSamples fail without the mechanisms (tried).

--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -207,6 +207,12 @@
 	return sum, weight
 }
 
+// isFresh reports whether the engine has an estimate of its own.
+func (eng *engineSpeed) isFresh(now time.Time) bool {
+	_, weight := eng.learnt(now)
+	return weight > 0
+}
+
 // Speed is the expected speed of an engine.
 type Speed struct {
 	// PerToken is the time per output token in seconds while as many requests run as when it was learnt, on average Running.
@@ -330,7 +336,8 @@
 	}
 	for id, eng := range spd.engines {
 		edp, ok := flt.Endpoints[id]
-		if !ok || edp.StartedAt > eng.bornAt {
+		// A start that only peers have told of is kept for as long as they do; it may not have reached the fleet view.
+		if !ok || edp.StartedAt > eng.bornAt || edp.StartedAt < eng.bornAt && !eng.isFresh(now) {
 			delete(spd.engines, id)
 			continue
 		}
--- a/dispatch/speed_test.go
+++ b/dispatch/speed_test.go
@@ -249,3 +249,69 @@
 		}
 	}
 }
+
+// Intervals that say nothing about an engine's speed must not be samples: a caller that does not read, a daemon that copies
+// memory or an engine without stated slowness would otherwise make an engine look slow.
+func TestIntervalsThatAreNoSamples(t *testing.T) {
+	edp := &catalog.Endpoint{ID: "e", Service: "pool", Slots: 24, StartedAt: 1}
+	at := func(ms int) time.Time { return testNow.Add(time.Duration(ms) * time.Millisecond) }
+	for _, cse := range []struct {
+		name   string
+		stated bool
+		play   func(bal *Balancer, wch *Watch)
+		// want is the weight of the estimate in tokens.
+		want float64
+	}{
+		{"two intervals", true, func(bal *Balancer, wch *Watch) {
+			bal.Observe(at(0), wch, 1, 4, pauseTarget)
+			bal.Observe(at(40), wch, 1, 4, pauseTarget)
+			bal.Observe(at(80), wch, 1, 4, pauseTarget)
+		}, 8},
+		{"not stated", false, func(bal *Balancer, wch *Watch) {
+			bal.Observe(at(0), wch, 1, 4, pauseTarget)
+			bal.Observe(at(40), wch, 1, 4, pauseTarget)
+		}, 0},
+		{"first event", true, func(bal *Balancer, wch *Watch) {
+			bal.Observe(at(900), wch, 1, 4, pauseTarget)
+		}, 0},
+		{"after a skip", true, func(bal *Balancer, wch *Watch) {
+			bal.Observe(at(0), wch, 1, 4, pauseTarget)
+			wch.Skip()
+			bal.Observe(at(5000), wch, 1, 4, pauseTarget)
+			bal.Observe(at(5040), wch, 1, 4, pauseTarget)
+		}, 4},
+		{"earlier start", true, func(bal *Balancer, wch *Watch) {
+			bal.Speeds.engine("e", "pool", 2)
+			bal.Observe(at(0), wch, 1, 4, pauseTarget)
+			bal.Observe(at(40), wch, 1, 4, pauseTarget)
+		}, 0},
+	} {
+		bal := NewBalancer()
+		if cse.stated {
+			bal.Speeds.SetStated("pool")
+		}
+		cse.play(bal, bal.Watch(testNow, edp, Work{}))
+		got := 0.0
+		if eng := bal.Speeds.engines["e"]; eng != nil {
+			got = eng.perToken.weight
+		}
+		if got < cse.want-0.1 || got > cse.want {
+			t.Errorf("%s: got a weight of %.2f tokens, want %.0f", cse.name, got, cse.want)
+		}
+	}
+}
+
+// A start time that a peer misreported must not keep an engine without estimates for good.
+func TestUnknownStartIsForgotten(t *testing.T) {
+	edp := catalog.Endpoint{ID: "e", Service: "pool", Slots: 24, StartedAt: 1}
+	vew := catalog.FleetView{Endpoints: map[string]catalog.Endpoint{"e": edp}}
+	bal := NewBalancer()
+	bal.Speeds.SetStated("pool")
+	bal.SetPeerUsage(testNow, "two", map[string]Usage{"e": {Pace: &Pace{Ms: 20, Weight: 100, Born: 1 << 60}}})
+	later := testNow.Add(paceLifetime)
+	bal.Speeds.Forget(later, vew)
+	(&paceStream{Events: 20, Every: 40 * time.Millisecond}).play(bal, &edp, later)
+	if got := bal.Speeds.At(later.Add(time.Second), &edp); !got.Learnt {
+		t.Errorf("got %+v, want an estimate of the engine's own", got)
+	}
+}
