--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -100,6 +100,11 @@
 	Score float64
 	// Considered is the number of endpoints that accept new requests of the service, full ones included.
 	Considered int
+	// Forecast is what a stream is expected to meet at the chosen engine; zero for plain services.
+	Forecast Forecast
+	// Second is the id of the second-best endpoint that is not full, and SecondScore its score; empty if there is none.
+	Second      string
+	SecondScore float64
 }
 
 // Work is the load that a request puts on an engine; it is zero for plain services.
@@ -108,6 +113,8 @@
 	Tokens int
 	// Prefill is the number of prompt tokens that the engine computes before the first event.
 	Prefill int
+	// Output is the number of tokens that the request is expected to generate from now on.
+	Output int
 }
 
 // Flight is a request in flight at an endpoint.
@@ -122,6 +129,8 @@
 	Tokens  int `json:"tokens,omitempty"`
 	// Prefill is the number of prompt tokens of the requests that have had no event yet.
 	Prefill int `json:"prefill,omitempty"`
+	// Pace is what the daemon's streams show of the engine's speed; nil if that is not known.
+	Pace *Pace `json:"pace,omitempty"`
 }
 
 // Report is a load report of an endpoint; it counts the requests of all daemons.
@@ -131,6 +140,8 @@
 	At time.Time
 	// ownFlights is the number of requests that this daemon had in flight there when it received the report.
 	ownFlights int
+	// changedAt is when the figures last differed from those before.
+	changedAt time.Time
 }
 
 // Balancer tracks the load and the failures of each endpoint and chooses endpoints by them.
@@ -139,6 +150,8 @@
 	FailureDomain string
 	// Throttle knows the endpoints that name a limit.
 	Throttle *Throttle
+	// Speeds knows how fast engines run.
+	Speeds *Speeds
 
 	endpoints map[string]*endpoint
 }
@@ -150,6 +163,9 @@
 	// peers holds the usage that the other daemons last reported, by the name of the daemon.
 	peers  map[string]peerUsage
 	report Report
+	// slowness is how slow the endpoint's machine is, as it last stated at slownessAt; 0 if it has never stated that.
+	slowness   float64
+	slownessAt time.Time
 	// failures and successes are counts that decay by failureHalfLife; countedAt is when they last decayed.
 	failures  float64
 	successes float64
@@ -166,7 +182,7 @@
 
 // NewBalancer returns a balancer without any recorded load or failure.
 func NewBalancer() *Balancer {
-	return &Balancer{Throttle: NewThrottle(), endpoints: map[string]*endpoint{}}
+	return &Balancer{Throttle: NewThrottle(), Speeds: NewSpeeds(), endpoints: map[string]*endpoint{}}
 }
 
 // Choose scores the endpoints that accept new requests of the service and returns the best one that is not full.
@@ -205,12 +221,13 @@
 			}
 			continue
 		}
-		if score += rnd.Float64() * distancePenalty / 2; score < choice.Score {
-			choice.Endpoint, choice.Score = &edp, score
-		}
+		choice.offer(&edp, score+rnd.Float64()*distancePenalty/2)
 	}
 	if choice.Endpoint != nil {
 		choice.Reason = ""
+		if engine != nil {
+			choice.Forecast = bal.forecast(now, bal.endpoint(choice.Endpoint.ID), choice.Endpoint, engine, req)
+		}
 	}
 	return choice
 }
@@ -229,10 +246,10 @@
 // rate returns the score of an endpoint, lower values being better, and whether the endpoint is full.
 func (bal *Balancer) rate(now time.Time, sta *endpoint, edp *catalog.Endpoint, engine *catalog.Engine, req *Request) (score float64, full bool) {
 	use := sta.utilization(now, edp, engine, req)
-	score, full = use, use > req.limit()
+	score, full = use*sta.slowFactor(now), use > req.limit()
 	if engine != nil {
-		delay := sta.firstEventDelay(now, req)
-		score, full = memoryWeight*use+delay, full || delay > delayLimit
+		fct := bal.forecast(now, sta, edp, engine, req)
+		score, full = memoryWeight*use+fct.score(), full || fct.full
 	}
 	score += failureWeight * sta.failureShare(now)
 	switch {
@@ -253,19 +270,13 @@
 // utilization returns the part of the endpoint's capacity that is in use once the request is added: the greater of the
 // parts of its slots and of its memory. At 1 the endpoint is full.
 func (sta *endpoint) utilization(now time.Time, edp *catalog.Endpoint, engine *catalog.Engine, req *Request) float64 {
-	flights, tokens := sta.own.Flights, sta.own.Tokens
+	tokens := sta.own.Tokens
 	for _, per := range sta.peers {
 		if now.Sub(per.at) < peerUsageLifetime {
-			flights += per.usage.Flights
 			tokens += per.usage.Tokens
 		}
 	}
-	if now.Sub(sta.report.At) < reportLifetime {
-		// The report counts the requests of all daemons when it was made, so only the change in the number of this
-		// daemon's requests since then is added.
-		flights = max(flights, sta.report.Running+sta.report.Waiting+sta.own.Flights-sta.report.ownFlights)
-	}
-	use := float64(flights+1) / float64(edp.Slots)
+	use := float64(sta.flights(now)+1) / float64(edp.Slots)
 	if engine != nil && engine.CapacityTokens > 0 {
 		use = max(use, float64(tokens+req.Tokens)/(memoryLimit*float64(engine.CapacityTokens)))
 	}
@@ -276,13 +287,8 @@
 // All daemons send requests to a new, empty engine at once, and it computes their prompts one after the other.
 // Only the counts that the daemons send to each other show this in time; the engine's reports come too late.
 func (sta *endpoint) firstEventDelay(now time.Time, req *Request) float64 {
-	pending := float64(sta.own.Prefill)
-	for _, per := range sta.peers {
-		if age := now.Sub(per.at); age < peerUsageLifetime {
-			pending += max(0, float64(per.usage.Prefill)-prefillTokensPerSecond*age.Seconds())
-		}
-	}
-	return (pending + float64(req.Prefill)) / prefillTokensPerSecond / max(req.Target, time.Second).Seconds()
+	pending := sta.pending(now, prefillTokensPerSecond)
+	return (pending + float64(req.Prefill)) / prefillTokensPerSecond / max(req.Target, minTarget).Seconds()
 }
 
 // Begin counts a request that is about to be sent to an endpoint.
@@ -311,7 +317,11 @@
 // Reported records a load report of an endpoint.
 func (bal *Balancer) Reported(now time.Time, id string, running, waiting int) {
 	sta := bal.endpoint(id)
-	sta.report = Report{Running: running, Waiting: waiting, At: now, ownFlights: sta.own.Flights}
+	changedAt := sta.report.changedAt
+	if changedAt.IsZero() || running != sta.report.Running || waiting != sta.report.Waiting {
+		changedAt = now
+	}
+	sta.report = Report{Running: running, Waiting: waiting, At: now, ownFlights: sta.own.Flights, changedAt: changedAt}
 }
 
 // Succeeded counts an answer of an endpoint.
@@ -337,14 +347,19 @@
 func (bal *Balancer) SetPeerUsage(now time.Time, name string, usage map[string]Usage) {
 	for id, usg := range usage {
 		sta := bal.endpoint(id)
-		if usg == (Usage{}) {
+		pace := usg.Pace
+		usg.Pace = nil
+		switch {
+		case usg == (Usage{}):
 			delete(sta.peers, name)
-			continue
+		case sta.peers == nil:
+			sta.peers = map[string]peerUsage{name: {usage: usg, at: now}}
+		default:
+			sta.peers[name] = peerUsage{usage: usg, at: now}
 		}
-		if sta.peers == nil {
-			sta.peers = map[string]peerUsage{}
+		if pace != nil {
+			bal.Speeds.SetPeer(now, name, id, *pace, sta.flights(now))
 		}
-		sta.peers[name] = peerUsage{usage: usg, at: now}
 	}
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -43,6 +43,13 @@
 	link     *Link
 	flight   *dispatch.Flight
 	endpoint *catalog.Endpoint
+	// watch takes the samples of the engine's speed.
+	watch *dispatch.Watch
+	// forecast is what was expected at the first engine, to which the request was sent at sentAt. resumed is true if another
+	// engine has continued the stream.
+	forecast dispatch.Forecast
+	sentAt   time.Time
+	resumed  bool
 	// beganAt is when the head of the engine's answer arrived. hasEvent is true from its first event on.
 	beganAt  time.Time
 	hasEvent bool
@@ -120,7 +127,7 @@
 // expectedWork returns the memory and prefill that a generation is expected to need.
 func expectedWork(rqs *request) dispatch.Work {
 	output := int(usualOutputShare * float64(rqs.MaxTokens))
-	return dispatch.Work{Tokens: rqs.PromptTokens + output, Prefill: rqs.PromptTokens}
+	return dispatch.Work{Tokens: rqs.PromptTokens + output, Prefill: rqs.PromptTokens, Output: output}
 }
 
 // start sends the request to one engine after another until one begins to answer.
@@ -148,6 +155,7 @@
 	if trs.condemned = one.server.refuseCondemned(one.server.Now(), one.request); trs.condemned != nil {
 		return false
 	}
+	one.forecast, one.sentAt = cho.Forecast, one.server.Now()
 	res, err := one.open(ctx, cho.Endpoint, Forward{LastEvent: one.LastEvent})
 	status := 0
 	if res == outcomeAnswered {
@@ -201,6 +209,7 @@
 		out.HeadTimeout = time.Duration(headShare * float64(rqs.route.Target))
 		out.GiveUp = srv.giveUp(rqs, edp.ID, wrk)
 	}
+	wch := srv.watch(edp, wrk)
 	flt := srv.begin(edp.ID, wrk)
 	lnk, err := Open(ctx, edp.Address, out)
 	var sendErr *SendError
@@ -233,7 +242,7 @@
 		lnk.Close()
 		return outcomeUnknown, err
 	}
-	one.link, one.endpoint, one.flight = lnk, edp, flt
+	one.link, one.endpoint, one.flight, one.watch = lnk, edp, flt, wch
 	one.beganAt, one.hasEvent, one.exposure = srv.Now(), false, exposure
 	srv.streams.add(one)
 	return outcomeAnswered, nil
@@ -323,12 +332,15 @@
 	now := one.server.Now()
 	if count > 0 {
 		one.noteEvents(now)
+		one.sample(now, count)
 	}
 	one.observe(now)
 	if _, err := one.writer.Write(events); err != nil {
 		return err
 	}
-	return one.control.Flush()
+	err := one.control.Flush()
+	one.skipSlowWrite(now)
+	return err
 }
 
 // observe records the time at which events arrived, for metrics.
@@ -366,7 +378,7 @@
 	one.logger.WithFields(logrus.Fields{
 		fieldEndpoint: one.endpoint.ID, fieldEvents: one.events, fieldElapsed: one.server.Now().Sub(one.begun),
 		"first": one.firstAt.Sub(one.begun), "pause": one.pause, "maxTokens": one.MaxTokens, "hint": one.LengthHint, "prompt": one.PromptTokens,
-	}).Info("stream complete")
+	}).WithFields(one.compareForecast()).Info("stream complete")
 	return nil
 }
 
@@ -401,6 +413,7 @@
 // answer but a stream counts as unknown.
 func (one *run) reopen(ctx context.Context, from, edp *catalog.Endpoint, fwd Forward) outcome {
 	one.detach()
+	one.resumed = true
 	one.mutex.Lock()
 	fwd.LastEvent = one.lastEvent
 	one.moving, one.copy, one.stopping, one.ended = nil, nil, false, false
