Weigh the prompt parts that engines hold

Cause: an engine does not read again the leading parts of a prompt that it holds, but placement ignored this, so that large shared parts were read by one engine after the other. Change: dispatch.Prefixes records what this daemon's requests have made engines read, gives the first part of a prompt two homes by rendezvous hashing, and corrects its confidence by the time to the first event. Balancer.Choose subtracts the expected saving from the score and adds the cost of one more copy of a large first part; the decision whether an engine is full does not depend on it. Off by default. Result: go test -race -p 2 ./dispatch passed.

--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -82,6 +82,8 @@
 	Force bool
 	// Brief marks a request that is expected to end soon; it may fill an engine up to briefLimit.
 	Brief bool
+	// Parts are the parts of the prompt in order; the last one belongs to the request or its session.
+	Parts []Part
 }
 
 // limit returns the utilization above which an endpoint is full for the request.
@@ -100,6 +102,8 @@
 	Score float64
 	// Considered is the number of endpoints that accept new requests of the service, full ones included.
 	Considered int
+	// Held is the number of prompt tokens that the chosen endpoint is expected to hold.
+	Held int
 }
 
 // Work is the load that a request puts on an engine; it is zero for plain services.
@@ -114,6 +118,8 @@
 type Flight struct {
 	Endpoint string
 	Work     Work
+	// Reading is the prompt that the request has sent; nil if it is not recorded.
+	Reading *Reading
 }
 
 // Usage sums up the requests that a daemon has in flight at an endpoint.
@@ -139,6 +145,8 @@
 	FailureDomain string
 	// Throttle knows the endpoints that name a limit.
 	Throttle *Throttle
+	// Prefixes knows which parts of prompts engines hold.
+	Prefixes *Prefixes
 
 	endpoints map[string]*endpoint
 }
@@ -166,7 +174,7 @@
 
 // NewBalancer returns a balancer without any recorded load or failure.
 func NewBalancer() *Balancer {
-	return &Balancer{Throttle: NewThrottle(), endpoints: map[string]*endpoint{}}
+	return &Balancer{Throttle: NewThrottle(), Prefixes: NewPrefixes(), endpoints: map[string]*endpoint{}}
 }
 
 // Choose scores the endpoints that accept new requests of the service and returns the best one that is not full.
@@ -185,6 +193,7 @@
 func (bal *Balancer) choose(now time.Time, rnd *rand.Rand, cat *catalog.Catalog, flt catalog.FleetView, req *Request, preferred bool) Choice {
 	choice := Choice{Reason: ReasonNoEndpoint, Score: math.Inf(1)}
 	engine := cat.Services[req.Service].Engine
+	pln := bal.planPrefix(now, cat, flt, req, preferred)
 	for id, edp := range flt.Endpoints {
 		sta, ok := bal.eligible(flt, &edp, req)
 		if !ok || preferred && !req.Preferred[id] {
@@ -205,8 +214,9 @@
 			}
 			continue
 		}
+		score -= pln.gain(id)
 		if score += rnd.Float64() * distancePenalty / 2; score < choice.Score {
-			choice.Endpoint, choice.Score = &edp, score
+			choice.Endpoint, choice.Score, choice.Held = &edp, score, pln.heldAt(id)
 		}
 	}
 	if choice.Endpoint != nil {
