Switch prompt prefixes on by setting or contract, and let the gateway record them

Cause: dispatch.Prefixes needs to hear of prompts that are sent, read and ended, and must be off unless a deployment asks for it. An engine that became a home late or had started again was taken to hold its parts at once; a script showed it. Change: the gateway records a prompt on the send, the first event and the end of a generation, and drops what a crashed engine held. Counters prompt_tokens_held_total and prompt_tokens_sent_total, gauge prefix_entries, log field held. Homes that come later hold nothing for 5 s.

--- a/dispatch/prefix.go
+++ b/dispatch/prefix.go
@@ -28,6 +28,9 @@
 	homeCount = 2
 	// homeConfidence is the confidence that a home holds a part, before any answer has shown it.
 	homeConfidence = 0.5
+	// homeDelay is the time after which an engine that has become a home later than others, or has started again, is taken
+	// to hold the part: requests of other daemons have made it read the part by then.
+	homeDelay = 5 * time.Second
 	// readingShare is the confidence in a part that a request without an event is reading: the request may yet be refused.
 	readingShare = 0.5
 	// minConfidence is the lower bound of the confidence, so that it rises again after a few answers.
@@ -80,7 +83,8 @@
 	seen *seenPart
 }
 
-// seenPart is what is known of the first part of prompts, whatever the engine.
+// seenPart is what is known of the first part of prompts, whatever the engine. It counts as seen once a request with it
+// was sent.
 type seenPart struct {
 	// requests counts the requests with the part, with a mean life of demandPeriod: it is also the number of those to be
 	// expected in the next demandPeriod. It is as of the entry's usedAt.
@@ -92,6 +96,8 @@
 type home struct {
 	engine     Incarnation
 	confidence float64
+	// since is when the engine became a home; zero if it was one from the beginning or has read the part since.
+	since time.Time
 }
 
 // Reading is a prompt that was sent to an engine.
@@ -268,7 +274,7 @@
 func (prf *Prefixes) homeConfidenceOf(now time.Time, engine Incarnation, part uint64) float64 {
 	if sen := prf.seen(now, part); sen != nil {
 		for _, hom := range sen.homes {
-			if hom.engine == engine {
+			if hom.engine == engine && sen.requests > 0 && now.Sub(hom.since) >= homeDelay {
 				return hom.confidence
 			}
 		}
@@ -276,7 +282,7 @@
 	return 0
 }
 
-// seen returns what is known of a first part; nil if no request with it was sent.
+// seen returns what is known of a first part; nil if there is nothing.
 func (prf *Prefixes) seen(now time.Time, part uint64) *seenPart {
 	elm, ok := prf.entries[prefixKey{part: part}]
 	if !ok || elm.Value.(*prefixEntry).isExpired(now) {
@@ -329,20 +335,22 @@
 	return ent.readers == 0 && now.Sub(ent.usedAt) >= heldRetention
 }
 
-// setHomes sets the engines that are taken to hold the part. Those that already were keep their confidence. One that has
-// started again holds nothing until a request with the part was read there.
-func (sen *seenPart) setHomes(engines []Incarnation) {
+// setHomes records the engines that are homes of a first part. Those that already were keep their confidence.
+func (prf *Prefixes) setHomes(now time.Time, part uint64, engines []Incarnation) {
+	sen := prf.seen(now, part)
+	if sen == nil {
+		sen = &seenPart{}
+		prf.use(now, prefixKey{part: part}).seen = sen
+	}
 	homes := make([]home, 0, len(engines))
 	for _, engine := range engines {
-		at := slices.IndexFunc(sen.homes, func(hom home) bool { return hom.engine.Endpoint == engine.Endpoint })
-		switch {
-		case at < 0:
-			homes = append(homes, home{engine: engine, confidence: homeConfidence})
-		case sen.homes[at].engine != engine:
-			homes = append(homes, home{engine: engine})
-		default:
-			homes = append(homes, sen.homes[at])
+		one := home{engine: engine, confidence: homeConfidence}
+		if at := slices.IndexFunc(sen.homes, func(hom home) bool { return hom.engine == engine }); at >= 0 {
+			one = sen.homes[at]
+		} else if sen.homes != nil {
+			one.since = now
 		}
+		homes = append(homes, one)
 	}
 	sen.homes = homes
 }
@@ -351,11 +359,11 @@
 func (sen *seenPart) judge(rdg *Reading, factor float64) {
 	for i := range sen.homes {
 		hom := &sen.homes[i]
-		switch {
-		case hom.engine != rdg.engine:
-		case hom.confidence == 0:
-			hom.confidence = homeConfidence
-		case rdg.expected.parts > 0:
+		if hom.engine != rdg.engine {
+			continue
+		}
+		hom.since = time.Time{}
+		if rdg.expected.parts > 0 {
 			hom.confidence = scaled(hom.confidence, factor)
 		}
 	}
--- a/dispatch/prefixplan.go
+++ b/dispatch/prefixplan.go
@@ -71,9 +71,7 @@
 	var homes []candidate
 	if len(keys) > 1 {
 		homes = homesOf(keys[0], candidates)
-		if sen := prf.seen(now, keys[0]); sen != nil {
-			sen.setHomes(incarnations(homes))
-		}
+		prf.setHomes(now, keys[0], incarnations(homes))
 		copyTokens = max(0, min(req.Parts[0].Tokens, req.Prefill)-smallPart)
 		relief = bal.homesLoad(now, flt, engine, req, homes) * min(1, prf.demandFor(now, keys[0])/copyDemand)
 	}
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -121,6 +121,7 @@
 	srv := dmn.Server
 	srv.Snapshots, srv.Logger = dmn.Control, dmn.Logger
 	srv.Balancer.FailureDomain = set.FailureDomain
+	srv.Balancer.Prefixes.Enabled = srv.Balancer.Prefixes.Enabled || set.Prefix.Enabled
 	srv.Budget.SetLimits(set.Retries.Ratio, set.Retries.Extra, time.Duration(set.Retries.Window))
 	dmn.Exchange.Name, dmn.Exchange.Requests, dmn.Exchange.Control, dmn.Exchange.Logger = set.Name, srv, dmn.Control, dmn.Logger
 	dmn.Control.Logger = dmn.Logger
@@ -142,6 +143,7 @@
 		defer srv.mutex.Unlock()
 		srv.Budget.Daemons = len(dmn.Exchange.Members())
 		srv.Balancer.Forget(srv.Now(), snp.Fleet)
+		srv.Balancer.Prefixes.Forget(srv.Now(), snp.Fleet)
 		srv.Throttle.Forget(srv.Now())
 		srv.Permits.Forget(srv.Now())
 	}
@@ -172,7 +174,8 @@
 	}
 	old := dmn.Settings
 	restart := set.CallerAddress != old.CallerAddress || set.ReadyAddress != old.ReadyAddress ||
-		set.PeerAddress != old.PeerAddress || set.StoreAddress != old.StoreAddress
+		set.PeerAddress != old.PeerAddress || set.StoreAddress != old.StoreAddress ||
+		set.Prefix != old.Prefix || set.Contracts != old.Contracts
 	dmn.Logger.WithFields(logrus.Fields{"retries": set.Retries, "level": set.Log.Level, "needsRestart": restart}).Info("settings reloaded")
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -31,6 +31,9 @@
 	moves *prometheus.CounterVec
 	// limits counts answers of endpoints that exceeded a limit, by the limit.
 	limits *prometheus.CounterVec
+	// heldTokens counts the prompt tokens that engines were expected to hold, promptTokens those that were sent, for
+	// services for which held parts of prompts are weighed.
+	heldTokens, promptTokens prometheus.Counter
 	calls, firstEvents,
 	pauses prometheus.Histogram
 }
@@ -51,6 +54,12 @@
 		limits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metricsNamespace, Name: "answer_limits_total", Help: "Answers of endpoints that exceeded a limit, by the limit.",
 		}, []string{"limit"}),
+		heldTokens: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "prompt_tokens_held_total", Help: "Prompt tokens sent to engines that were expected to hold them.",
+		}),
+		promptTokens: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "prompt_tokens_sent_total", Help: "Prompt tokens sent to engines for which held parts of prompts are weighed.",
+		}),
 		calls: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: metricsNamespace, Name: "call_seconds", Help: "Time to the answer of plain calls.", Buckets: callBuckets,
 		}),
@@ -61,7 +70,7 @@
 			Namespace: metricsNamespace, Name: "longest_pause_seconds", Help: "Longest pause between two events of a complete stream.", Buckets: callBuckets,
 		}),
 	}
-	met.registry.MustRegister(met.requests, met.sends, met.moves, met.limits, met.calls, met.firstEvents, met.pauses,
+	met.registry.MustRegister(met.requests, met.sends, met.moves, met.limits, met.heldTokens, met.promptTokens, met.calls, met.firstEvents, met.pauses,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return met
 }
@@ -97,6 +106,11 @@
 		defer dmn.Server.mutex.Unlock()
 		return float64(dmn.Server.Blame.CondemnedCount())
 	})
+	gauge("prefix_entries", "Entries of the record of parts of prompts that engines hold.", func(*control.Snapshot) float64 {
+		dmn.Server.mutex.Lock()
+		defer dmn.Server.mutex.Unlock()
+		return float64(dmn.Server.Balancer.Prefixes.Len())
+	})
 	gauge("endpoints_limited", "Endpoints that name a limit of requests a second.", func(*control.Snapshot) float64 {
 		dmn.Server.mutex.Lock()
 		defer dmn.Server.mutex.Unlock()
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -140,10 +140,14 @@
 func (srv *Server) logSend(rqs *request, cho *dispatch.Choice, res outcome, status int, err error) {
 	rqs.excluded[cho.Endpoint.ID] = true
 	srv.Metrics.sends.WithLabelValues(res.String()).Inc()
-	rqs.logger.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		fieldEndpoint: cho.Endpoint.ID, "choice": cho.String(), fieldOutcome: res.String(), "status": status,
 		fieldElapsed: srv.Now().Sub(rqs.begun), "error": errorText(err),
-	}).Info("request sent")
+	}
+	if cho.Held > 0 {
+		fields["held"] = cho.Held
+	}
+	rqs.logger.WithFields(fields).Info("request sent")
 }
 
 // relayAnswer writes an endpoint's complete answer to the caller.
--- /dev/null
+++ b/gateway/prefix.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"time"
+
+	"papayacroft/catalog"
+	"papayacroft/dispatch"
+)
+
+// promptParts returns the parts of a request's prompt for the choice of an engine.
+func promptParts(parts []Part) []dispatch.Part {
+	all := make([]dispatch.Part, 0, len(parts))
+	for _, part := range parts {
+		all = append(all, dispatch.Part(part))
+	}
+	return all
+}
+
+// beginPrompt counts a request that is about to be sent to an engine, less the part of its prompt that the engine is
+// expected to hold.
+func (srv *Server) beginPrompt(rqs *request, edp *catalog.Endpoint, wrk dispatch.Work) *dispatch.Flight {
+	engine := srv.Snapshots.Snapshot().Catalog.Services[rqs.service].Engine
+	srv.mutex.Lock()
+	rdg := srv.Balancer.BeginPrompt(srv.Now(), edp, engine, &dispatch.Request{Service: rqs.service, Work: wrk, Parts: promptParts(rqs.Parts)})
+	srv.mutex.Unlock()
+	if rdg != nil {
+		srv.Metrics.heldTokens.Add(float64(rdg.Held))
+		srv.Metrics.promptTokens.Add(float64(wrk.Prefill))
+		wrk.Prefill -= rdg.Held
+	}
+	flt := srv.begin(edp.ID, wrk)
+	flt.Reading = rdg
+	return flt
+}
+
+// promptRead records the first event of a generation: its engine has read the prompt.
+func (srv *Server) promptRead(now time.Time, flt *dispatch.Flight) {
+	srv.mutex.Lock()
+	defer srv.mutex.Unlock()
+	srv.Balancer.Prefixes.Started(now, flt.Reading)
+}
--- a/gateway/scenario_call_test.go
+++ b/gateway/scenario_call_test.go
@@ -30,7 +30,7 @@
 	sit.startPrompt(name, daemon, target, "", key)
 }
 
-// startPrompt starts a request; prompt has the ids of its parts, separated by commas.
+// startPrompt starts a request; prompt has the ids of its parts, separated by commas, or ID:TOKENS for each.
 func (sit *site) startPrompt(name, daemon, target, prompt string, key []string) {
 	ctx, cancel := context.WithCancel(context.Background())
 	cal := &siteCall{id: "id-" + name, cancel: cancel, done: make(chan struct{})}
@@ -43,7 +43,10 @@
 	req.Header.Set("Attempt-Id", cal.id)
 	req.Header.Set("Token-Usage", "100,400")
 	req.Header.Set("Tenant", "forged")
-	if prompt != "" {
+	if strings.Contains(prompt, ":") {
+		req.Header.Set("Prompt-Prefix", prompt)
+		req.Header.Set("Token-Usage", promptUsage(prompt))
+	} else if prompt != "" {
 		req.Header.Set("Prompt-Prefix", strings.ReplaceAll(prompt, ",", ":50,")+":50")
 	}
 	credential := "key-one"
--- a/gateway/scenario_start_test.go
+++ b/gateway/scenario_start_test.go
@@ -192,7 +192,7 @@
 		Name: name, FailureDomain: domain, CallerAddress: addresses[0], ReadyAddress: addresses[1],
 		PeerAddress: addresses[2], MetricsAddress: addresses[3], StoreAddress: storeProxy.Listener.Addr().String(), DrainNotice: document.Duration(8 * time.Second),
 		Retries: settings.RetryBudget{Ratio: 0.2, Extra: 50, Window: document.Duration(10 * time.Second)},
-		Log:     settings.Log{Level: "info", Format: "json"},
+		Log:     settings.Log{Level: "info", Format: "json"}, Contracts: sit.contracts,
 	}
 	dmn := gateway.NewDaemon()
 	dmn.Settings, dmn.Logger = set, logger
--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -75,6 +75,8 @@
 	countedFrom time.Time
 	// stopped is the daemon that stopPermits has ended.
 	stopped string
+	// contracts is the setting of the daemons that start from now on.
+	contracts string
 }
 
 type siteEndpoint struct {
@@ -147,7 +149,7 @@
 }
 
 func (sit *site) run(args []string) {
-	for _, one := range []func([]string) bool{sit.runSite, sit.runStop, sit.runEndpoint, sit.runCaller, sit.runWait, sit.runFleet, sit.runPrompt, sit.runLimit, sit.checkTraffic, sit.checkAnswer, sit.checkRuns} {
+	for _, one := range []func([]string) bool{sit.runSite, sit.runStop, sit.runEndpoint, sit.runCaller, sit.runWait, sit.runFleet, sit.runPrompt, sit.runPrefix, sit.runLimit, sit.checkTraffic, sit.checkAnswer, sit.checkRuns} {
 		if one(args) {
 			return
 		}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -291,6 +291,7 @@
 func (srv *Server) choose(now time.Time, rqs *request, wrk dispatch.Work, force bool) dispatch.Choice {
 	return srv.decide(now, &dispatch.Request{
 		Service: rqs.service, Work: wrk, Target: rqs.route.Target, Excluded: rqs.excluded, Force: force, Brief: rqs.route.Resumable,
+		Parts: promptParts(rqs.Parts),
 	})
 }
 
@@ -365,6 +366,7 @@
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
 	srv.Balancer.End(flt)
+	srv.Balancer.Prefixes.End(srv.Now(), flt.Reading)
 	if flt.Work.Tokens > 0 && srv.OnWork != nil {
 		srv.OnWork(flt.Endpoint)
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -201,7 +201,7 @@
 		out.HeadTimeout = time.Duration(headShare * float64(rqs.route.Target))
 		out.GiveUp = srv.giveUp(rqs, edp.ID, wrk)
 	}
-	flt := srv.begin(edp.ID, wrk)
+	flt := srv.beginPrompt(rqs, edp, wrk)
 	lnk, err := Open(ctx, edp.Address, out)
 	var sendErr *SendError
 	if errors.As(err, &sendErr) {
@@ -322,6 +322,9 @@
 	}
 	now := one.server.Now()
 	if count > 0 {
+		if !one.hasEvent {
+			one.server.promptRead(now, one.flight)
+		}
 		one.noteEvents(now)
 	}
 	one.observe(now)
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -27,7 +27,10 @@
 	// MemoryMB is the memory limit of the process; 0 means no limit.
 	MemoryMB int         `yaml:"memoryMB"`
 	Retries  RetryBudget `yaml:"retries"`
-	Log      Log         `yaml:"log"`
+	// Contracts are the words by which the platform asks for further behaviour, separated by commas.
+	Contracts string `yaml:"contracts"`
+	Prefix    Prefix `yaml:"prefix"`
+	Log       Log    `yaml:"log"`
 }
 
 // RetryBudget limits how many requests all daemons together send again to another endpoint.
@@ -40,6 +43,12 @@
 	Window document.Duration `yaml:"window"`
 }
 
+// Prefix configures the use of the parts of prompts that engines hold.
+type Prefix struct {
+	// Enabled makes the choice of an engine weigh them for all services.
+	Enabled bool `yaml:"enabled"`
+}
+
 const (
 	defaultRetryRatio  = 0.1
 	defaultRetryExtra  = 10
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -40,6 +40,8 @@
 drainNotice: 8s
 memoryMB: 134
 retries: {ratio: 0.2, extra: 54, window: 10s}
+contracts: "burst,pressure"
+prefix: {enabled: true}
 `))
 	if err := lst.Err(); err != nil {
 		t.Fatal(err)
@@ -47,4 +49,7 @@
 	if got, want := set.Log.Format, "json"; got != want {
 		t.Errorf("got log format %q, want %q", got, want)
 	}
+	if got, want := set.Contracts, "burst,pressure"; got != want || !set.Prefix.Enabled {
+		t.Errorf("got contracts %q, prefixes enabled %t; want %q, true", got, set.Prefix.Enabled, want)
+	}
 }
