Give full engines no credit for what they hold, and drop homes that crash

Cause: with Force, a full engine could be chosen for its prefix before one with room; a crashed engine stayed a home that is taken to hold its parts; a header with thousands of parts was copied at each choice.

--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -214,7 +214,7 @@
 			}
 			continue
 		}
-		score -= pln.gain(id)
+		score -= pln.gain(id, full)
 		if score += rnd.Float64() * distancePenalty / 2; score < choice.Score {
 			choice.Endpoint, choice.Score, choice.Held = &edp, score, pln.heldAt(id)
 		}
--- a/dispatch/prefix.go
+++ b/dispatch/prefix.go
@@ -188,11 +188,14 @@
 }
 
 // Drop forgets what an engine holds, because it has ended or was restarted.
-func (prf *Prefixes) Drop(engine Incarnation) {
+func (prf *Prefixes) Drop(now time.Time, engine Incarnation) {
 	for key, elm := range prf.entries {
 		if key.engine == engine {
 			prf.remove(elm)
 		}
+		if sen := elm.Value.(*prefixEntry).seen; sen != nil {
+			sen.drop(now, engine)
+		}
 	}
 }
 
@@ -369,6 +372,15 @@
 	}
 }
 
+// drop records that an engine, if it is a home, holds the part no longer.
+func (sen *seenPart) drop(now time.Time, engine Incarnation) {
+	for i := range sen.homes {
+		if sen.homes[i].engine == engine {
+			sen.homes[i] = home{engine: engine, confidence: homeConfidence, since: now}
+		}
+	}
+}
+
 // verdict returns the factor by which the time to the first event changes the confidence in the parts that were expected
 // to be held: 0.5 if it is that of a full read, 2 if it is too short for one, and 1 if it does not tell them apart.
 func (rdg *Reading) verdict(now time.Time) float64 {
--- a/dispatch/prefix_test.go
+++ b/dispatch/prefix_test.go
@@ -264,7 +264,7 @@
 		t.Errorf("got %d tokens held %s after the end, want %d", got, heldRetention, want)
 	}
 	bal.Prefixes.Started(late, bal.BeginPrompt(late, &edp, engine, req))
-	bal.Prefixes.Drop(Incarnation{Endpoint: "e", StartedAt: 1})
+	bal.Prefixes.Drop(late, Incarnation{Endpoint: "e", StartedAt: 1})
 	if got, want := held(late), 0; got != want {
 		t.Errorf("got %d tokens held after the engine crashed, want %d", got, want)
 	}
--- a/dispatch/prefixplan.go
+++ b/dispatch/prefixplan.go
@@ -42,9 +42,9 @@
 }
 
 // gain returns what is subtracted from an endpoint's score: the expected saving as a part of the target, less the cost of
-// one more copy. It is 0 for a nil plan.
-func (pln *prefixPlan) gain(id string) float64 {
-	if pln == nil {
+// one more copy. It is 0 for a nil plan and for an endpoint that is full.
+func (pln *prefixPlan) gain(id string, full bool) float64 {
+	if pln == nil || full {
 		return 0
 	}
 	return pln.gains[id]
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -158,7 +158,7 @@
 	incarnation := dispatch.Incarnation{Endpoint: edp.ID, StartedAt: edp.StartedAt}
 	srv.mutex.Lock()
 	now := srv.Now()
-	srv.Balancer.Prefixes.Drop(incarnation)
+	srv.Balancer.Prefixes.Drop(now, incarnation)
 	ended := srv.Blame.Crashed(now, now, dispatch.PartCrash{Incarnation: incarnation})
 	srv.mutex.Unlock()
 	srv.shareEnded(now, now, ended)
@@ -250,7 +250,7 @@
 	at := now.Add(-milliseconds(found.AgeMS))
 	incarnation := dispatch.Incarnation{Endpoint: found.Endpoint, StartedAt: found.StartedAt}
 	srv.mutex.Lock()
-	srv.Balancer.Prefixes.Drop(incarnation)
+	srv.Balancer.Prefixes.Drop(now, incarnation)
 	if !found.Ended && srv.Suspects.Crashed(now, found.Digest, incarnation) {
 		srv.Balancer.Failed(now, found.Endpoint, true)
 	}
--- a/gateway/prefix.go
+++ b/gateway/prefix.go
@@ -7,8 +7,10 @@
 	"papayacroft/dispatch"
 )
 
-// promptParts returns the parts of a request's prompt for the choice of an engine.
+// promptParts returns the parts of a request's prompt for the choice of an engine, maxSharedParts at most: a caller may
+// state thousands.
 func promptParts(parts []Part) []dispatch.Part {
+	parts = parts[:min(len(parts), maxSharedParts)]
 	all := make([]dispatch.Part, 0, len(parts))
 	for _, part := range parts {
 		all = append(all, dispatch.Part(part))
