--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -82,6 +82,8 @@
 	Force bool
 	// Brief marks a request that is expected to end soon; it may fill an engine up to briefLimit.
 	Brief bool
+	// Parts are the parts of the prompt in order; the last one belongs to the request or its session.
+	Parts []Part
 }
 
 // limit returns the utilization above which an endpoint is full for the request.
@@ -105,6 +107,8 @@
 	// Second is the id of the second-best endpoint that is not full, and SecondScore its score; empty if there is none.
 	Second      string
 	SecondScore float64
+	// Held is the number of prompt tokens that the chosen endpoint is expected to hold.
+	Held int
 }
 
 // Work is the load that a request puts on an engine; it is zero for plain services.
@@ -121,6 +125,8 @@
 type Flight struct {
 	Endpoint string
 	Work     Work
+	// Reading is the prompt that the request has sent; nil if it is not recorded.
+	Reading *Reading
 }
 
 // Usage sums up the requests that a daemon has in flight at an endpoint.
@@ -152,6 +158,8 @@
 	Throttle *Throttle
 	// Speeds knows how fast engines run.
 	Speeds *Speeds
+	// Prefixes knows which parts of prompts engines hold.
+	Prefixes *Prefixes
 
 	endpoints map[string]*endpoint
 }
@@ -182,7 +190,7 @@
 
 // NewBalancer returns a balancer without any recorded load or failure.
 func NewBalancer() *Balancer {
-	return &Balancer{Throttle: NewThrottle(), Speeds: NewSpeeds(), endpoints: map[string]*endpoint{}}
+	return &Balancer{Throttle: NewThrottle(), Speeds: NewSpeeds(), Prefixes: NewPrefixes(), endpoints: map[string]*endpoint{}}
 }
 
 // Choose scores the endpoints that accept new requests of the service and returns the best one that is not full.
@@ -201,6 +209,7 @@
 func (bal *Balancer) choose(now time.Time, rnd *rand.Rand, cat *catalog.Catalog, flt catalog.FleetView, req *Request, preferred bool) Choice {
 	choice := Choice{Reason: ReasonNoEndpoint, Score: math.Inf(1)}
 	engine := cat.Services[req.Service].Engine
+	pln := bal.planPrefix(now, cat, flt, req, preferred)
 	for id, edp := range flt.Endpoints {
 		sta, ok := bal.eligible(flt, &edp, req)
 		if !ok || preferred && !req.Preferred[id] {
@@ -221,10 +230,10 @@
 			}
 			continue
 		}
-		choice.offer(&edp, score+rnd.Float64()*distancePenalty/2)
+		choice.offer(&edp, score-pln.gain(id, full)+rnd.Float64()*distancePenalty/2)
 	}
 	if choice.Endpoint != nil {
-		choice.Reason = ""
+		choice.Reason, choice.Held = "", pln.heldAt(choice.Endpoint.ID)
 		if engine != nil {
 			choice.Forecast = bal.forecast(now, bal.endpoint(choice.Endpoint.ID), choice.Endpoint, engine, req)
 		}
--- a/gateway/speed.go
+++ b/gateway/speed.go
@@ -27,6 +27,7 @@
 	srv.Balancer.ReportedSlowness(now, id, load.Slowness)
 	if edp, ok := srv.Snapshots.Snapshot().Fleet.Endpoints[id]; ok && !srv.Balancer.Speeds.Enabled(edp.Service) {
 		srv.Balancer.Speeds.SetStated(edp.Service)
+		srv.Balancer.Prefixes.EnableService(edp.Service)
 		srv.Logger.WithField(fieldEndpoint, id).WithField("service", edp.Service).Info("speeds of the service's engines are learnt: an endpoint states how slow its machine is")
 	}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -210,7 +210,7 @@
 		out.GiveUp = srv.giveUp(rqs, edp.ID, wrk)
 	}
 	wch := srv.watch(edp, wrk)
-	flt := srv.begin(edp.ID, wrk)
+	flt := srv.beginPrompt(rqs, edp, wrk)
 	lnk, err := Open(ctx, edp.Address, out)
 	var sendErr *SendError
 	if errors.As(err, &sendErr) {
@@ -331,6 +331,9 @@
 	}
 	now := one.server.Now()
 	if count > 0 {
+		if !one.hasEvent {
+			one.server.promptRead(now, one.flight)
+		}
 		one.noteEvents(now)
 		one.sample(now, count)
 	}
