Weigh the expected run time twice

A stream is lost with its daemon too, of which no mark of leaving shows the rate.

go test ./dispatch passes.

--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -12,6 +12,9 @@
 	// of other streams that the prompt makes late. A late stream loses as much by a pause as by its first event, whose
 	// target has a weight of 1.
 	latePenalty = 1.0
+	// runWeight is the weight in a score of the expected number of times that the engine leaves while the stream runs. The
+	// stream is moved then, or lost if there is no time; it is also lost when its daemon ends, of which no mark shows the rate.
+	runWeight = 2.0
 	// riskLimit limits what run time and pauses add to a score, so that an unreachable endpoint ranks behind all others.
 	riskLimit = unreachablePenalty / 2
 	// minTarget bounds the target for the first event from below; copies and routes without a target would divide by zero.
@@ -40,7 +43,7 @@
 
 // score returns the forecast's part of an engine's score.
 func (fct *Forecast) score() float64 {
-	return fct.delay + min(riskLimit, fct.Leaves+latePenalty*(fct.Pause+fct.Beside))
+	return fct.delay + min(riskLimit, runWeight*fct.Leaves+latePenalty*(fct.Pause+fct.Beside))
 }
 
 // forecast returns what the request is expected to meet at an engine. For services without learnt speeds it has the time to
