Back off longer from an unavailable store in all but the first successors

Change: daemons that are not among the first six in succession double their back-off twice as fast and up to 3.2 s; the others tell them when the store is back.

--- a/exchange/feed.go
+++ b/exchange/feed.go
@@ -29,9 +29,16 @@
 	// settleTime is the time from a daemon's first reading of a topic until it considers reading on. All daemons may start
 	// at the same time: meanwhile they learn of each other, and only the first in succession reads.
 	settleTime = 500 * time.Millisecond
-	// minFeedPause and maxFeedPause limit the exponential back-off after failed reads.
-	minFeedPause = 100 * time.Millisecond
-	maxFeedPause = 800 * time.Millisecond
+	// minFeedPause and maxFeedPause limit the exponential back-off after failed reads of the first successors of a topic's
+	// reader. The other daemons hear from these when the store is back. They back off faster and up to maxOthersPause, so
+	// that an outage does not cost calls in proportion to the daemons; their pause still lets them notice on their own
+	// within 4 s that the store serves them while it turns the successors away.
+	minFeedPause   = 100 * time.Millisecond
+	maxFeedPause   = 800 * time.Millisecond
+	maxOthersPause = 3200 * time.Millisecond
+	// backOffFactor and othersBackOffFactor are the factors of the back-off.
+	backOffFactor       = 2
+	othersBackOffFactor = 4
 	// gapPause is the delay before a gap between parts is read from the store; the missing part may arrive from a
 	// peer meanwhile.
 	gapPause   = 30 * time.Millisecond
@@ -232,7 +239,12 @@
 	}
 	fed.Control.Send(ctx, control.StoreRead{Err: err})
 	fed.due = now.Add(spread(fed.pause))
-	fed.pause = min(2*fed.pause, maxFeedPause)
+	// A daemon that has not read the topic yet knows nothing to serve by, so it does not wait for others.
+	if fed.next != unread && fed.Rank(fed.Topic) >= successors {
+		fed.pause = min(othersBackOffFactor*fed.pause, maxOthersPause)
+	} else {
+		fed.pause = min(backOffFactor*fed.pause, maxFeedPause)
+	}
 }
 
 // fetch reads the whole topic or what follows the records known so far.
--- a/exchange/fleet_test.go
+++ b/exchange/fleet_test.go
@@ -47,7 +47,7 @@
 	Publish int64
 	// Kill, Freeze and TurnAway affect daemons: "reader" and "relay" are the first readers of the
 	// endpoints and of the configuration, "successors" the first four readers of the configuration, "others" all but the
-	// first readers, "third" and "thirdOfOthers" every third.
+	// first readers, "third" and "thirdOfOthers" every third, "all" all.
 	Kill, Freeze, TurnAway string
 	// Add is the number of endpoints that start, Remove the share of those present whose entries are removed.
 	Add    int
@@ -332,7 +332,7 @@
 		others := dmn.Rank(topicOperator) > 0 && dmn.Rank(topicEndpoints) > 0
 		match := map[string]bool{
 			"third": i%3 == 0, "reader": dmn.Rank(topicEndpoints) == 0, "relay": dmn.Rank(topicOperator) == 0, "successors": dmn.Rank(topicOperator) < 4,
-			"others": others, "thirdOfOthers": others && i%3 == 0,
+			"others": others, "thirdOfOthers": others && i%3 == 0, "all": true,
 		}
 		if match[which] {
 			all = append(all, dmn)
