--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -31,6 +31,8 @@
 	moves *prometheus.CounterVec
 	// limits counts answers of endpoints that exceeded a limit, by the limit.
 	limits *prometheus.CounterVec
+	// unreadable counts figures of load reports that could not be read, by the figure.
+	unreadable *prometheus.CounterVec
 	calls, firstEvents,
 	pauses prometheus.Histogram
 }
@@ -51,6 +53,9 @@
 		limits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metricsNamespace, Name: "answer_limits_total", Help: "Answers of endpoints that exceeded a limit, by the limit.",
 		}, []string{"limit"}),
+		unreadable: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "load_figures_unreadable_total", Help: "Figures of endpoints' load reports that could not be read, by the figure.",
+		}, []string{"figure"}),
 		calls: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: metricsNamespace, Name: "call_seconds", Help: "Time to the answer of plain calls.", Buckets: callBuckets,
 		}),
@@ -61,7 +66,7 @@
 			Namespace: metricsNamespace, Name: "longest_pause_seconds", Help: "Longest pause between two events of a complete stream.", Buckets: callBuckets,
 		}),
 	}
-	met.registry.MustRegister(met.requests, met.sends, met.moves, met.limits, met.calls, met.firstEvents, met.pauses,
+	met.registry.MustRegister(met.requests, met.sends, met.moves, met.limits, met.unreadable, met.calls, met.firstEvents, met.pauses,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return met
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -396,6 +396,13 @@
 	return true
 }
 
+// noteUnreadable counts the figures of a load report that could not be read.
+func (srv *Server) noteUnreadable(lod *Load) {
+	for _, figure := range lod.Unreadable {
+		srv.Metrics.unreadable.WithLabelValues(figure).Inc()
+	}
+}
+
 // noteFailure records that an endpoint failed in the middle of a stream.
 func (srv *Server) noteFailure(id string) {
 	srv.mutex.Lock()
@@ -409,6 +416,7 @@
 	now := srv.Now()
 	srv.learnFromAnswer(now, id, ans)
 	if ans.Load != nil {
+		srv.noteUnreadable(ans.Load)
 		srv.Balancer.Reported(now, id, ans.Load.Running, ans.Load.Waiting)
 	}
 	if ok {
--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -51,6 +51,11 @@
 // Load is the load that an endpoint reports about itself.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowness is how long work currently takes on the endpoint's machine, as a multiple of the usual time; 0 if it is not
+	// stated.
+	Slowness float64
+	// Unreadable names the figures of the report that could not be read; they have the value 0.
+	Unreadable []string
 }
 
 // Answer is the information in the headers of an endpoint's answer.
