Send nothing to evacuated failure domains

Cause: an operator could not take a failure domain out of use while its endpoints run. Records evacuate/ZONE of the operator topic now reach all daemons like configurations, are compared by gossip (a hash of the evacuated domains and of the offsets of their records), and end with the record. Choose skips the endpoints; a request is checked again before its first byte, a copy before the generation is stopped. A daemon is not ready before it knows the evacuations.

--- a/catalog/fleet.go
+++ b/catalog/fleet.go
@@ -86,14 +86,19 @@
 	pendingRemovals map[string]time.Time
 	// graceUntil is the time until which the removal of an entry may be an effect of an outage.
 	graceUntil time.Time
-	// changes counts the changes of Endpoints and Leaving; view is the copy that View made last.
+	// evacuations is replaced at each change, so that views can share its map.
+	evacuations Evacuations
+	// changes counts the changes of Endpoints, Leaving and evacuations; view is the copy that View made last.
 	changes int64
 	view    FleetView
 }
 
 // NewFleet returns a fleet without endpoints.
 func NewFleet() *Fleet {
-	return &Fleet{Endpoints: map[string]Endpoint{}, Leaving: map[string]LeavingMark{}, pendingRemovals: map[string]time.Time{}}
+	return &Fleet{
+		Endpoints: map[string]Endpoint{}, Leaving: map[string]LeavingMark{}, pendingRemovals: map[string]time.Time{},
+		evacuations: Evacuations{Unread: true},
+	}
 }
 
 // RecordOutage records that the store could not be read. Removals of entries are delayed for outageGrace from then on.
@@ -219,7 +224,9 @@
 // View returns a copy that later changes to the fleet don't affect; without a change it is the last one.
 func (flt *Fleet) View() FleetView {
 	if flt.view.Endpoints == nil || flt.view.Changes != flt.changes {
-		flt.view = FleetView{Changes: flt.changes, Endpoints: maps.Clone(flt.Endpoints), Leaving: maps.Clone(flt.Leaving)}
+		flt.view = FleetView{
+			Changes: flt.changes, Endpoints: maps.Clone(flt.Endpoints), Leaving: maps.Clone(flt.Leaving), Evacuations: flt.evacuations,
+		}
 	}
 	return flt.view
 }
@@ -230,6 +237,8 @@
 	Changes   int64
 	Endpoints map[string]Endpoint
 	Leaving   map[string]LeavingMark
+	// Evacuations are the failure domains to which no request may be sent.
+	Evacuations Evacuations
 }
 
 // IsLate reports whether an entry was written before what is known of the endpoint: before its present entry, or before the
@@ -245,6 +254,9 @@
 
 // HasNeighbour reports whether another endpoint of the same service and failure domain accepts new requests.
 func (vew FleetView) HasNeighbour(edp *Endpoint) bool {
+	if vew.Evacuations.Has(edp.FailureDomain) {
+		return false
+	}
 	for id, one := range vew.Endpoints {
 		_, leaving := vew.Leaving[id]
 		if id != edp.ID && !leaving && one.State == StateReady && one.Service == edp.Service && one.FailureDomain == edp.FailureDomain {
--- a/control/control.go
+++ b/control/control.go
@@ -70,9 +70,11 @@
 	// tickedAt is the time of the last periodic work, and resumedAt the end of the last pause.
 	tickedAt, resumedAt time.Time
 	// sources is who reported that an endpoint leaves, by id, until that is logged; without an entry it was the store.
-	sources  map[string]string
-	inputs   chan Input
-	snapshot atomic.Pointer[Snapshot]
+	sources map[string]string
+	// evacuationSource is who reported the last change of the evacuations.
+	evacuationSource string
+	inputs           chan Input
+	snapshot         atomic.Pointer[Snapshot]
 }
 
 // New returns a Control with an empty view; Run must be started.
@@ -138,6 +140,7 @@
 		TickedAt: ctl.tickedAt, ResumedAt: ctl.resumedAt}
 	ctl.snapshot.Store(snp)
 	if snp.Fleet.Changes != old.Fleet.Changes {
+		ctl.announceEvacuations(old, snp)
 		ctl.announce(old, snp)
 	}
 }
--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -63,6 +63,8 @@
 	ReasonFull Reason = "full"
 	// ReasonLimited means that there are such endpoints, but they have named limits and get no more requests now.
 	ReasonLimited Reason = "limited"
+	// ReasonEvacuated means that all such endpoints are in failure domains that are evacuated.
+	ReasonEvacuated Reason = "evacuated"
 )
 
 // Request holds the properties of a request that the choice of an endpoint depends on.
@@ -190,6 +192,12 @@
 		if !ok || preferred && !req.Preferred[id] {
 			continue
 		}
+		if flt.Evacuations.Has(edp.FailureDomain) {
+			if choice.Reason == ReasonNoEndpoint {
+				choice.Reason = ReasonEvacuated
+			}
+			continue
+		}
 		// A copy can't wait: its engine leaves.
 		if req.Source == "" && bal.Throttle.Denied(now, id) {
 			if choice.Considered == 0 {
--- a/dispatch/balancer_test.go
+++ b/dispatch/balancer_test.go
@@ -30,7 +30,9 @@
 	Capacity              int
 	Engines               map[string]deskEngine
 	Preferred             []string
-	Request               struct {
+	// Evacuated are the failure domains that are evacuated.
+	Evacuated []string
+	Request   struct {
 		Tokens, Prefill int
 		Target          time.Duration
 		Source          string
@@ -42,7 +44,11 @@
 
 // TestChoose checks one decision under each load pattern of testdata/balancer.yaml.
 func TestChoose(t *testing.T) {
-	data, err := os.ReadFile("testdata/balancer.yaml")
+	testChoices(t, "testdata/balancer.yaml")
+}
+
+func testChoices(t *testing.T, file string) {
+	data, err := os.ReadFile(file)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -81,6 +87,10 @@
 		{Name: "pool", Engine: &catalog.Engine{Slots: 8, CapacityTokens: capacity}}, {Name: "desk"},
 	}, nil)
 	vew := catalog.FleetView{Endpoints: map[string]catalog.Endpoint{}, Leaving: map[string]catalog.LeavingMark{}}
+	vew.Evacuations.Domains = map[string]catalog.Evacuation{"lifted": {Lifted: true}}
+	for _, domain := range cse.Evacuated {
+		vew.Evacuations.Domains[domain] = catalog.Evacuation{At: testNow}
+	}
 	bal := NewBalancer()
 	bal.FailureDomain = "a"
 	for id, eng := range cse.Engines {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -50,14 +50,20 @@
 	Leaving map[string]int64 `json:"leaving,omitempty"`
 	// LeavingSum is a hash of the endpoints that leave. Gossip carries it in place of Leaving.
 	LeavingSum uint64 `json:"leavingSum,omitempty,string"`
+	// EvacuatedSum is a hash of the evacuated failure domains; 0 if there are none.
+	EvacuatedSum uint64 `json:"evacuatedSum,omitempty,string"`
 }
 
-// messageReply has the receiver's configuration version and, if it knows of other leaving endpoints than the sender, all
-// that it knows of.
+// messageReply has the receiver's configuration version and, if it knows of other leaving endpoints or other evacuations than
+// the sender, all that it knows of.
 type messageReply struct {
 	Version        int64            `json:"version"`
 	LeavingDiffers bool             `json:"leavingDiffers,omitempty"`
 	Leaving        map[string]int64 `json:"leaving,omitempty"`
+	// EvacuationsDiffer is true if the sender's EvacuatedSum is another one. Evacuations is nil if the receiver has not learnt
+	// them yet.
+	EvacuationsDiffer bool         `json:"evacuationsDiffer,omitempty"`
+	Evacuations       *evacuations `json:"evacuations,omitempty"`
 }
 
 // Crash is the news that a request crashed an endpoint while it ran there.
@@ -204,6 +210,10 @@
 		exc.receiveTopic(part)
 		return nil
 	})
+	srv.Handlers[evacuationMethod] = answer(func(ctx context.Context, msg *evacuations) any {
+		exc.applyEvacuations(ctx, msg.Name, msg)
+		return nil
+	})
 	// A peer whose gossip shows that it lacks leaving endpoints gets them directly.
 	srv.Handlers[leavingMethod] = exc.broadcasts[leavingMethod]
 	srv.Handlers[broadcastMethod] = func(ctx context.Context, params json.RawMessage) (any, error) {
@@ -263,6 +273,7 @@
 	msg := &message{
 		Name: exc.Name, Address: exc.Address, FailureDomain: exc.FailureDomain, Draining: exc.Requests.Draining(),
 		Crashes: exc.Requests.Crashes(exc.Now()), Survivals: exc.Requests.Survivals(exc.Now()), Version: snp.Version(), LeavingSum: leavingSum(leaving),
+		EvacuatedSum: evacuatedSum(&snp.Fleet.Evacuations),
 	}
 	// In a larger fleet, a neighbour rarely uses the same engines.
 	if len(exc.Members()) <= engineUsers {
@@ -305,6 +316,9 @@
 	if reply.LeavingDiffers {
 		exc.reconcileLeaving(ctx, address, leaving, reply.Leaving)
 	}
+	if reply.EvacuationsDiffer {
+		exc.reconcileEvacuations(ctx, address, reply.Evacuations)
+	}
 	exc.noticeVersion(reply.Version, address)
 }
 
@@ -341,5 +355,8 @@
 	if leaving := exc.leaving(snp); leavingSum(leaving) != msg.LeavingSum {
 		reply.LeavingDiffers, reply.Leaving = true, leaving
 	}
+	if own := &snp.Fleet.Evacuations; evacuatedSum(own) != msg.EvacuatedSum {
+		reply.EvacuationsDiffer, reply.Evacuations = true, exc.encodeEvacuations(own)
+	}
 	return reply
 }
--- a/exchange/feed.go
+++ b/exchange/feed.go
@@ -44,6 +44,8 @@
 	Value []byte `json:"value,omitempty"`
 	// Packed is true if the value is compressed for the transfer between daemons.
 	Packed bool `json:"packed,omitempty"`
+	// Offset is the record's place in the topic's log; records that are shared have it only in topics with Feed.Numbered.
+	Offset int64 `json:"offset,omitempty"`
 }
 
 // TopicReader reads the topics of the store.
@@ -85,6 +87,8 @@
 	Now            func() time.Time
 	// Apply applies records and returns those to share with peers; whole is true if they are the whole topic.
 	Apply func(ctx context.Context, records []Record, whole bool) []Record
+	// Numbered is true if records keep their offsets when they are shared.
+	Numbered bool
 	// Share sends a part to the peers; it must not block.
 	Share func(part *TopicPart)
 	// Rank returns how many answering daemons precede this one in the succession of the topic's reader.
@@ -126,6 +130,12 @@
 	}
 }
 
+// Next returns the offset after the records that were read; it is for Apply, which runs in the feed's goroutine, and for whole
+// topics.
+func (fed *Feed) Next() int64 {
+	return fed.next
+}
+
 // Busy reports whether parts or reads wait to be applied.
 func (fed *Feed) Busy() bool {
 	return fed.pending.Load() > 0
@@ -245,6 +255,11 @@
 
 // share sends what was read to the peers.
 func (fed *Feed) share(now time.Time, next int64, records []Record) {
+	if !fed.Numbered {
+		for i := range records {
+			records[i].Offset = 0
+		}
+	}
 	fed.Share(&TopicPart{Topic: fed.Topic, Reader: fed.Name, From: fed.shared, Next: next, Records: records})
 	fed.shared, fed.sharedAt = next, now
 }
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -179,7 +179,7 @@
 // answerReady is the readiness check of the load balancer: status 200 if the daemon accepts requests, otherwise 503.
 func (dmn *Daemon) answerReady(wri http.ResponseWriter, _ *http.Request) {
 	// With routes but without endpoints, the daemon would refuse each request.
-	if snp := dmn.Control.Snapshot(); dmn.Server.Draining() || snp.Catalog == nil || len(snp.Fleet.Endpoints) == 0 {
+	if snp := dmn.Control.Snapshot(); dmn.Server.Draining() || snp.Catalog == nil || snp.Fleet.Evacuations.Unread || len(snp.Fleet.Endpoints) == 0 {
 		wri.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -37,6 +37,8 @@
 	// the context limits the wait.
 	HeadTimeout time.Duration
 	GiveUp      func() bool
+	// Check, if set, is called once the connection is open; if it returns an error, the request is not sent.
+	Check func() error
 }
 
 // SendError is the error of a request that got no answer; it shows whether the request may have been sent.
@@ -81,6 +83,12 @@
 	if err != nil {
 		return nil, &SendError{Err: err}
 	}
+	if out.Check != nil {
+		if err := out.Check(); err != nil {
+			_ = con.Close()
+			return nil, &SendError{Err: err}
+		}
+	}
 	lnk := &Link{conn: con}
 	lnk.stop = context.AfterFunc(ctx, lnk.closeConn)
 	if err := lnk.exchange(out); err != nil {
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -245,6 +245,12 @@
 		one.dropCopy(source, res)
 		return false
 	}
+	if one.server.isEvacuated(target) {
+		one.dropCopy(source, res)
+		log.WithField("error", errEvacuated.Error()).Info("generation could not be copied")
+		one.server.Metrics.moves.WithLabelValues("failed").Inc()
+		return false
+	}
 	one.setStopping()
 	rest, err := engines.Copy(ctx, source.Address, one.ID, target.Address, true)
 	if err == nil && rest.Handle != "" {
@@ -306,7 +312,7 @@
 		rounds++
 		res, err = one.server.Engines.Copy(ctx, source.Address, one.ID, target.Address, false)
 		now := one.server.Now()
-		if err != nil || now.Sub(began) < expected+shortCopy || now.Sub(first) > copyTime {
+		if err != nil || now.Sub(began) < expected+shortCopy || now.Sub(first) > copyTime || one.server.isEvacuated(target) {
 			return res, rounds, err
 		}
 		began, expected = now, 0
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -180,7 +180,7 @@
 	}
 	flt := srv.begin(edp.ID, dispatch.Work{})
 	defer srv.end(flt)
-	lnk, err := Open(ctx, edp.Address, srv.outgoing(rqs, Forward{Endpoint: edp.ID, Priority: -1}))
+	lnk, err := Open(ctx, edp.Address, srv.outgoing(rqs, edp, Forward{Endpoint: edp.ID, Priority: -1}))
 	srv.noteSendError(ctx, edp.ID, err)
 	var sendErr *SendError
 	if errors.As(err, &sendErr) && !sendErr.Sent {
--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -147,7 +147,7 @@
 }
 
 func (sit *site) run(args []string) {
-	for _, one := range []func([]string) bool{sit.runSite, sit.runStop, sit.runEndpoint, sit.runCaller, sit.runWait, sit.runFleet, sit.runPrompt, sit.runLimit, sit.checkTraffic, sit.checkAnswer, sit.checkRuns} {
+	for _, one := range []func([]string) bool{sit.runSite, sit.runStop, sit.runEndpoint, sit.runCaller, sit.runWait, sit.runFleet, sit.runPrompt, sit.runLimit, sit.runEvacuation, sit.checkTraffic, sit.checkAnswer, sit.checkRuns} {
 		if one(args) {
 			return
 		}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -194,6 +194,8 @@
 	switch {
 	case cat == nil:
 		return notRun(noCatalogRetry, "no configuration is known yet")
+	case snp.Fleet.Evacuations.Unread:
+		return notRun(noCatalogRetry, "the evacuated failure domains are not known yet")
 	case len(snp.Fleet.Endpoints) == 0:
 		// After a start, the configuration and the endpoints are read concurrently, so endpoints should follow shortly.
 		srv.awaitEndpoints(rqs.http.Context())
@@ -305,12 +307,13 @@
 }
 
 // outgoing builds the request that is sent to an endpoint.
-func (srv *Server) outgoing(rqs *request, fwd Forward) *Outgoing {
+func (srv *Server) outgoing(rqs *request, edp *catalog.Endpoint, fwd Forward) *Outgoing {
 	fwd.Organisation = rqs.organisation
 	fwd.TimeLeft = rqs.deadline.Sub(srv.Now())
 	return &Outgoing{
 		Method: rqs.http.Method, URL: rqs.http.URL, Host: rqs.http.Host,
 		Header: srv.Wire.RequestHeader(rqs.http.Header, fwd), Body: rqs.body,
+		Check: func() error { return srv.checkSend(edp) },
 	}
 }
 
@@ -378,6 +381,9 @@
 	if !errors.As(err, &sendErr) {
 		return
 	}
+	if errors.Is(err, errEvacuated) {
+		return
+	}
 	if cause := context.Cause(ctx); errors.Is(cause, context.Canceled) || errors.Is(cause, errCondemned) || !sendErr.Sent && ctx.Err() != nil {
 		return
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -196,7 +196,7 @@
 	if fwd.Copy != "" {
 		wrk.Prefill = 0
 	}
-	out := srv.outgoing(rqs, fwd)
+	out := srv.outgoing(rqs, edp, fwd)
 	if rqs.route.Repeatable() && rqs.sends+1 < rqs.route.Attempts {
 		out.HeadTimeout = time.Duration(headShare * float64(rqs.route.Target))
 		out.GiveUp = srv.giveUp(rqs, edp.ID, wrk)
--- a/standin/keyedstore.go
+++ b/standin/keyedstore.go
@@ -108,6 +108,13 @@
 	top.records = nil
 }
 
+// Forget drops the newest record of a key, as if the store had lost it with a part of its history; no record says so.
+func (kst *KeyedStore) Forget(topic, key string) {
+	kst.mutex.Lock()
+	defer kst.mutex.Unlock()
+	delete(kst.topic(topic).newest, key)
+}
+
 func (kst *KeyedStore) topic(name string) *keyedTopic {
 	top, ok := kst.topics[name]
 	if !ok {
