Test evacuations under failures

Cause: the paths by which an evacuation reaches all daemons, and the races of a request or a copy with its arrival, had no test. The simulated fleet now fails a case whose wait has no end; before, such a wait was not counted.

--- a/catalog/evacuation_test.go
+++ b/catalog/evacuation_test.go
@@ -42,28 +42,32 @@
 			for _, stp := range cse.Steps {
 				stp.apply(t, flt)
 			}
-			evs := flt.View().Evacuations
-			got := []string{}
-			for domain, evc := range evs.Domains {
-				if !evs.Has(domain) {
-					continue
-				}
-				got = append(got, domain)
-				if cse.Since != nil && !evc.At.Equal(testNow.Add(*cse.Since)) {
-					t.Errorf("got evacuation of %s since %s, want %s", domain, evc.At.Sub(testNow), *cse.Since)
-				}
-			}
-			slices.Sort(got)
-			if !slices.Equal(got, cse.Want) || evs.Count() != len(cse.Want) {
-				t.Errorf("got %v evacuated, count %d, want %v", got, evs.Count(), cse.Want)
-			}
-			if last := cse.Steps[len(cse.Steps)-1]; evs.Unread && last.Put == nil {
-				t.Error("got a state that counts as unread, want it read")
-			}
+			cse.check(t, flt)
 		})
 	}
 }
 
+func (cse *evacuationCase) check(t *testing.T, flt *Fleet) {
+	evs := flt.View().Evacuations
+	got := []string{}
+	for domain, evc := range evs.Domains {
+		if !evs.Has(domain) {
+			continue
+		}
+		got = append(got, domain)
+		if cse.Since != nil && !evc.At.Equal(testNow.Add(*cse.Since)) {
+			t.Errorf("got evacuation of %s since %s, want %s", domain, evc.At.Sub(testNow), *cse.Since)
+		}
+	}
+	slices.Sort(got)
+	if !slices.Equal(got, cse.Want) || evs.Count() != len(cse.Want) {
+		t.Errorf("got %v evacuated, count %d, want %v", got, evs.Count(), cse.Want)
+	}
+	if last := cse.Steps[len(cse.Steps)-1]; evs.Unread && last.Put == nil {
+		t.Error("got a state that counts as unread, want it read")
+	}
+}
+
 func (stp *evacuationStep) apply(t *testing.T, flt *Fleet) {
 	now := testNow.Add(stp.At)
 	switch {
--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -192,17 +192,8 @@
 		if !ok || preferred && !req.Preferred[id] {
 			continue
 		}
-		if flt.Evacuations.Has(edp.FailureDomain) {
-			if choice.Reason == ReasonNoEndpoint {
-				choice.Reason = ReasonEvacuated
-			}
-			continue
-		}
-		// A copy can't wait: its engine leaves.
-		if req.Source == "" && bal.Throttle.Denied(now, id) {
-			if choice.Considered == 0 {
-				choice.Reason = ReasonLimited
-			}
+		if why := bal.barred(now, flt, &edp, req); why != "" {
+			choice.bar(why)
 			continue
 		}
 		choice.Considered++
--- a/exchange/fleet_test.go
+++ b/exchange/fleet_test.go
@@ -47,11 +47,15 @@
 	Publish int64
 	// Kill, Freeze and TurnAway affect daemons: "reader" and "relay" are the first readers of the
 	// endpoints and of the configuration, "successors" the first four readers of the configuration, "others" all but the
-	// first readers, "third" and "thirdOfOthers" every third.
+	// first readers, "all" all, "third" and "thirdOfOthers" every third.
 	Kill, Freeze, TurnAway string
 	// Add is the number of endpoints that start, Remove the share of those present whose entries are removed.
 	Add    int
 	Remove float64
+	// Evacuate and Lift name a failure domain whose evacuation the operator begins or ends.
+	Evacuate, Lift string
+	// Trim names a failure domain: the store drops all log records, and the one of its evacuation with them.
+	Trim string
 }
 
 type fleetCase struct {
@@ -72,6 +76,8 @@
 	// InForce and Known are the times until each reachable daemon has a published version, and knows of added and removed
 	// endpoints.
 	InForce, Known time.Duration
+	// Evacuated is the time until each reachable daemon knows that an evacuation has begun or ended.
+	Evacuated time.Duration
 	// Growth is the greatest ratio between the largest and the smallest size of messages and of bytes a daemon.
 	Growth float64
 	// CallsPerDaemon is the number of calls to the store that each further daemon may add.
@@ -86,6 +92,7 @@
 	messages, bytes    float64
 	connections, calls float64
 	inForce, known     time.Duration
+	evacuated          time.Duration
 }
 
 // connectionBound returns the mean number of connections if each daemon had one in each direction to the other users of
@@ -99,7 +106,11 @@
 // Each case of testdata/fleet.yaml plays daemons with the real exchange, feeds and control goroutine in simulated time,
 // over a network and a store in memory, and checks what each daemon sends and how soon all know.
 func TestFleet(t *testing.T) {
-	data, err := os.ReadFile("testdata/fleet.yaml")
+	playFleet(t, "testdata/fleet.yaml")
+}
+
+func playFleet(t *testing.T, file string) {
+	data, err := os.ReadFile(file)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -123,14 +134,17 @@
 
 func (bnd *fleetBounds) check(t *testing.T, results []fleetResult) {
 	for _, res := range results {
-		t.Logf("%d daemons: %.1f messages/s, %.0f B/s, %.1f connections a daemon, %.0f calls to the store, in force after %v, endpoints known after %v",
-			res.daemons, res.messages, res.bytes, res.connections, res.calls, res.inForce, res.known)
+		t.Logf("%d daemons: %.1f messages/s, %.0f B/s, %.1f connections a daemon, %.0f calls to the store, in force after %v, endpoints known after %v, evacuations after %v",
+			res.daemons, res.messages, res.bytes, res.connections, res.calls, res.inForce, res.known, res.evacuated)
 		if bnd.InForce > 0 && res.inForce > bnd.InForce {
 			t.Errorf("%d daemons: got a version in force after %v, want %v at most", res.daemons, res.inForce, bnd.InForce)
 		}
 		if bnd.Known > 0 && res.known > bnd.Known {
 			t.Errorf("%d daemons: got endpoints known after %v, want %v at most", res.daemons, res.known, bnd.Known)
 		}
+		if bnd.Evacuated > 0 && res.evacuated > bnd.Evacuated {
+			t.Errorf("%d daemons: got an evacuation known after %v, want %v at most", res.daemons, res.evacuated, bnd.Evacuated)
+		}
 		if most := res.connectionBound(); bnd.Connections && res.connections > most {
 			t.Errorf("%d daemons: got %.1f connections a daemon, want %.1f at most", res.daemons, res.connections, most)
 		}
@@ -158,6 +172,8 @@
 	mutex     sync.Mutex
 	endpoints []string
 	result    fleetResult
+	// waits is the number of conditions that await still waits for.
+	waits int
 }
 
 // fleetDaemon is one simulated daemon.
@@ -215,6 +231,9 @@
 	}
 	flt.mutex.Lock()
 	defer flt.mutex.Unlock()
+	if flt.waits > 0 {
+		flt.t.Errorf("got %d waits without an end, want none", flt.waits)
+	}
 	return flt.result
 }
 
@@ -318,6 +337,8 @@
 		for _, dmn := range away {
 			dmn.setTurnedAway(false)
 		}
+	case stp.Evacuate != "" || stp.Lift != "" || stp.Trim != "":
+		flt.evacuate(stp)
 	case stp.Add > 0:
 		flt.awaitListed(flt.add(stp.Add), true)
 	case stp.Remove > 0:
@@ -332,7 +353,7 @@
 		others := dmn.Rank(topicOperator) > 0 && dmn.Rank(topicEndpoints) > 0
 		match := map[string]bool{
 			"third": i%3 == 0, "reader": dmn.Rank(topicEndpoints) == 0, "relay": dmn.Rank(topicOperator) == 0, "successors": dmn.Rank(topicOperator) < 4,
-			"others": others, "thirdOfOthers": others && i%3 == 0,
+			"all": true, "others": others, "thirdOfOthers": others && i%3 == 0,
 		}
 		if match[which] {
 			all = append(all, dmn)
@@ -357,6 +378,8 @@
 
 // await waits until a condition holds at all daemons that are alive and not frozen, or until the case ends.
 func (flt *fleet) await(holds func(dmn *fleetDaemon) bool) {
+	flt.addWaits(1)
+	defer flt.addWaits(-1)
 	for _, dmn := range flt.daemons {
 		for flt.ctx.Err() == nil && dmn.isServing() && !holds(dmn) {
 			time.Sleep(checkPoll)
@@ -364,6 +387,12 @@
 	}
 }
 
+func (flt *fleet) addWaits(count int) {
+	flt.mutex.Lock()
+	defer flt.mutex.Unlock()
+	flt.waits += count
+}
+
 func (nod *simNode) isServing() bool {
 	nod.mutex.Lock()
 	defer nod.mutex.Unlock()
--- a/exchange/simnet_test.go
+++ b/exchange/simnet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -262,6 +263,8 @@
 
 type simTopic struct {
 	records []exchange.Record
+	// first is the offset of the first record that can still be read from the log.
+	first int64
 	// grown is closed and replaced at each append.
 	grown chan struct{}
 }
@@ -283,17 +286,24 @@
 	sto.mutex.Lock()
 	defer sto.mutex.Unlock()
 	top := sto.topic(name)
-	top.records = append(top.records, exchange.Record{Key: key, Value: value})
+	top.records = append(top.records, exchange.Record{Key: key, Value: value, Offset: int64(len(top.records))})
 	close(top.grown)
 	top.grown = make(chan struct{})
 }
 
-// since returns the records from an offset on and a channel that is closed when there are more.
+// since returns a copy of the records from an offset on and a channel that is closed when there are more or fewer.
 func (sto *simStore) since(name string, from int64) ([]exchange.Record, chan struct{}) {
 	sto.mutex.Lock()
 	defer sto.mutex.Unlock()
 	top := sto.topic(name)
-	return top.records[from:], top.grown
+	return slices.Clone(top.records[from:]), top.grown
+}
+
+// isTrimmed reports whether records from an offset on were dropped.
+func (sto *simStore) isTrimmed(name string, from int64) bool {
+	sto.mutex.Lock()
+	defer sto.mutex.Unlock()
+	return from < sto.topic(name).first
 }
 
 type simClient struct {
@@ -345,6 +355,9 @@
 		}
 		records, _ = clt.store.since(topic, from)
 	}
+	if clt.store.isTrimmed(topic, from) {
+		return nil, from, trace.NotFound("trimmed")
+	}
 	return records, from + int64(len(records)), nil
 }
 
