Limit the requests to cold endpoints

Cause: an endpoint that has just started, or turned cold, crashes if it gets more requests than it sustains. The permits for endpoints with a limit now also enforce coldPerS of the service while an endpoint is cold by its entry, by Cold-Ms in an answer, or since the evacuation of its failure domain was lifted. Rate and burst keep the bound (coldOverage, coldSlack) in each second while two daemons hand out permits and some are used up to 100 ms late; without a permit nothing is sent, also not for copies. An entry that turns an endpoint cold or warm is shared; the settings cold.overage and cold.slack hold the bound.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -103,6 +103,10 @@
 	MaxConnections int
 	// Engine describes the model engines; it is nil for plain services.
 	Engine *Engine
+	// ColdTime is the time for which an endpoint is cold after its start, and ColdPerSecond the number of requests a second
+	// that a cold one sustains; with 0, cold endpoints have no limit.
+	ColdTime      time.Duration
+	ColdPerSecond float64
 }
 
 // Limits holds the size limits and time-outs for the connections of callers.
--- a/catalog/fleet.go
+++ b/catalog/fleet.go
@@ -29,13 +29,16 @@
 	Sequence int64
 	// WarmAt is the time from which the endpoint has its full speed; it is slow until then, after a start.
 	WarmAt time.Time
+	// ReadAt is when this daemon learnt of the entry.
+	ReadAt time.Time
 }
 
-// SameAs reports whether two entries are equal apart from Sequence and WarmAt.
+// SameAs reports whether two entries are equal apart from Sequence, WarmAt and ReadAt.
 func (edp *Endpoint) SameAs(other *Endpoint) bool {
 	one, two := *edp, *other
 	one.Sequence, two.Sequence = 0, 0
 	one.WarmAt, two.WarmAt = time.Time{}, time.Time{}
+	one.ReadAt, two.ReadAt = time.Time{}, time.Time{}
 	return one == two
 }
 
@@ -113,8 +116,10 @@
 	}
 	old, known := flt.Endpoints[edp.ID]
 	delete(flt.pendingRemovals, edp.ID)
+	edp.ReadAt = now
 	flt.Endpoints[edp.ID] = edp
-	if !edp.SameAs(&old) || now.Before(edp.WarmAt) || now.Before(old.WarmAt) {
+	lifted := flt.evacuations.LiftedAt(edp.FailureDomain)
+	if !edp.SameAs(&old) || now.Before(edp.WarmAt) || now.Before(old.WarmAt) || !lifted.IsZero() && !old.ReadAt.After(lifted) {
 		flt.changes++
 	}
 	switch {
--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -102,6 +102,9 @@
 	Score float64
 	// Considered is the number of endpoints that accept new requests of the service, full ones included.
 	Considered int
+	// NextPermit is the time until the next permit for a cold endpoint, if the reason is ReasonLimited; 0 if there is no cold
+	// one among those that get no more requests now.
+	NextPermit time.Duration
 }
 
 // Work is the load that a request puts on an engine; it is zero for plain services.
@@ -141,6 +144,8 @@
 	FailureDomain string
 	// Throttle knows the endpoints that name a limit.
 	Throttle *Throttle
+	// Cold knows the endpoints that are cold.
+	Cold *Cold
 
 	endpoints map[string]*endpoint
 }
@@ -168,7 +173,7 @@
 
 // NewBalancer returns a balancer without any recorded load or failure.
 func NewBalancer() *Balancer {
-	return &Balancer{Throttle: NewThrottle(), endpoints: map[string]*endpoint{}}
+	return &Balancer{Throttle: NewThrottle(), Cold: NewCold(), endpoints: map[string]*endpoint{}}
 }
 
 // Choose scores the endpoints that accept new requests of the service and returns the best one that is not full.
@@ -186,7 +191,8 @@
 // It adds a small random amount to each score to break ties.
 func (bal *Balancer) choose(now time.Time, rnd *rand.Rand, cat *catalog.Catalog, flt catalog.FleetView, req *Request, preferred bool) Choice {
 	choice := Choice{Reason: ReasonNoEndpoint, Score: math.Inf(1)}
-	engine := cat.Services[req.Service].Engine
+	service := cat.Services[req.Service]
+	engine := service.Engine
 	for id, edp := range flt.Endpoints {
 		sta, ok := bal.eligible(flt, &edp, req)
 		if !ok || preferred && !req.Preferred[id] {
@@ -194,10 +200,14 @@
 		}
 		if why := bal.barred(now, flt, &edp, req); why != "" {
 			choice.bar(why)
+			if why == ReasonLimited && bal.Cold.Left(now, &flt.Evacuations, &edp, &service) > 0 {
+				choice.notePermit(bal.Throttle.NextPermit(now, id))
+			}
 			continue
 		}
 		choice.Considered++
 		score, full := bal.rate(now, sta, &edp, engine, req)
+		score += bal.coldScore(now, &flt.Evacuations, &edp, &service, req)
 		if full && !req.Force {
 			if choice.Endpoint == nil {
 				choice.Reason = ReasonFull
@@ -240,9 +250,6 @@
 	case req.Source == "" && edp.FailureDomain != bal.FailureDomain:
 		score += distancePenalty
 	}
-	if now.Before(edp.WarmAt) {
-		score += coldPenalty
-	}
 	if now.Before(sta.avoidUntil) {
 		score += unreachablePenalty
 	}
--- a/dispatch/barred.go
+++ b/dispatch/barred.go
@@ -22,6 +22,28 @@
 	return ""
 }
 
+// coldCopyPenalty ranks cold endpoints with a limit behind all others as destinations of copies: the generation is paused
+// until there is a permit.
+const coldCopyPenalty = 10.0
+
+// coldScore returns what a cold endpoint's score gains.
+func (bal *Balancer) coldScore(now time.Time, evs *catalog.Evacuations, edp *catalog.Endpoint, svc *catalog.Service, req *Request) float64 {
+	switch left := bal.Cold.Left(now, evs, edp, svc); {
+	case left > 0 && req.Source != "":
+		return coldCopyPenalty
+	case left > 0 || now.Before(edp.WarmAt):
+		return coldPenalty
+	}
+	return 0
+}
+
+// notePermit records the time until the next permit for a cold endpoint; the shortest one counts.
+func (cho *Choice) notePermit(wait time.Duration) {
+	if cho.NextPermit == 0 || wait < cho.NextPermit {
+		cho.NextPermit = max(wait, time.Millisecond)
+	}
+}
+
 // bar records why an endpoint was not considered.
 func (cho *Choice) bar(why Reason) {
 	if cho.Considered == 0 && barringRanks[why] > barringRanks[cho.Reason] {
--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -40,16 +40,43 @@
 // With force it takes one in advance if there is none.
 func (per *Permits) Take(now time.Time, id string, perSecond float64, force bool) (granted bool, wait time.Duration) {
 	perSecond = max(perSecond, minRateLimit)
+	buc := per.bucket(now, id)
+	if now.Sub(buc.madeAt) < settleTime {
+		perSecond *= settleShare
+	}
+	// A burst of half a second lets more permits be used when requests arrive at random times.
+	buc.resize(now, perSecond, 1+int(perSecond/2))
+	return buc.take(now, force)
+}
+
+// TakeCold takes a permit for a cold endpoint that sustains so many requests a second, within the bound of cold endpoints; it
+// returns false and the time until the next permit if there is none. With steady, this daemon has been the one that hands out
+// the endpoint's permits for settleTime at least.
+func (per *Permits) TakeCold(now time.Time, id string, perSecond float64, cld *Cold, steady bool) (granted bool, wait time.Duration) {
+	if _, known := per.buckets[id]; !known && steady {
+		per.bucket(now.Add(-settleTime), id)
+	}
+	buc := per.bucket(now, id)
+	perSecond, burst := cld.rate(perSecond), cld.burst()
+	if now.Sub(buc.madeAt) < settleTime {
+		perSecond, burst = perSecond*settleShare, 1
+	}
+	buc.resize(now, perSecond, burst)
+	return buc.take(now, false)
+}
+
+// bucket returns the state of an endpoint, and creates it if there is none.
+func (per *Permits) bucket(now time.Time, id string) *permitBucket {
 	buc, known := per.buckets[id]
 	if !known {
 		buc = &permitBucket{madeAt: now}
 		per.buckets[id] = buc
 	}
 	buc.usedAt = now
-	if now.Sub(buc.madeAt) < settleTime {
-		perSecond *= settleShare
-	}
-	buc.resize(now, perSecond)
+	return buc
+}
+
+func (buc *permitBucket) take(now time.Time, force bool) (granted bool, wait time.Duration) {
 	rsv := buc.limiter.ReserveN(now, 1)
 	wait = rsv.DelayFrom(now)
 	if wait == 0 || force {
@@ -59,16 +86,15 @@
 	return false, wait
 }
 
-// resize sets the rate of the permits.
-func (buc *permitBucket) resize(now time.Time, perSecond float64) {
-	// A burst of half a second lets more permits be used when requests arrive at random times.
-	limit, burst := rate.Limit(perSecond), 1+int(perSecond/2)
+// resize sets the rate of the permits and the number that may be handed out at once.
+func (buc *permitBucket) resize(now time.Time, perSecond float64, burst int) {
+	limit := rate.Limit(perSecond)
 	if buc.limiter == nil {
 		buc.limiter = rate.NewLimiter(limit, burst)
 		// The daemon that was asked before may just have handed out a burst.
 		buc.limiter.ReserveN(now, burst-1)
 	}
-	if buc.limiter.Limit() != limit {
+	if buc.limiter.Limit() != limit || buc.limiter.Burst() != burst {
 		buc.limiter.SetLimitAt(now, limit)
 		buc.limiter.SetBurstAt(now, burst)
 	}
--- a/dispatch/throttle.go
+++ b/dispatch/throttle.go
@@ -25,13 +25,15 @@
 type Throttle struct {
 	limits map[string]RateLimit
 	denied map[string]time.Time
+	// nextPermits is when the next permit for an endpoint is to be had, by the last denial.
+	nextPermits map[string]time.Time
 	// sharedAt is when this daemon last announced an endpoint's limit.
 	sharedAt map[string]time.Time
 }
 
 // NewThrottle returns a Throttle that knows no limits.
 func NewThrottle() *Throttle {
-	return &Throttle{limits: map[string]RateLimit{}, denied: map[string]time.Time{}, sharedAt: map[string]time.Time{}}
+	return &Throttle{limits: map[string]RateLimit{}, denied: map[string]time.Time{}, nextPermits: map[string]time.Time{}, sharedAt: map[string]time.Time{}}
 }
 
 // Learn records what an endpoint said, unless something later is known. It reports whether the limit has changed.
@@ -68,6 +70,12 @@
 // Deny records that no permit for an endpoint is to be had for a time.
 func (thr *Throttle) Deny(now time.Time, id string, wait time.Duration) {
 	thr.denied[id] = now.Add(min(wait, maxDenial))
+	thr.nextPermits[id] = now.Add(wait)
+}
+
+// NextPermit returns the time until the next permit for an endpoint that was denied.
+func (thr *Throttle) NextPermit(now time.Time, id string) time.Duration {
+	return max(0, thr.nextPermits[id].Sub(now))
 }
 
 // Denied reports whether no permit for an endpoint is to be had now.
@@ -95,4 +103,10 @@
 			delete(thr.sharedAt, id)
 		}
 	}
+	for id, at := range thr.nextPermits {
+		if now.Sub(at) >= maxDenial {
+			delete(thr.nextPermits, id)
+			delete(thr.denied, id)
+		}
+	}
 }
--- a/exchange/fleet_test.go
+++ b/exchange/fleet_test.go
@@ -56,6 +56,8 @@
 	Evacuate, Lift string
 	// Trim names a failure domain: the store drops all log records, and the one of its evacuation with them.
 	Trim string
+	// Cold is the number of endpoints, the first ones, whose entries say from now on that they are cold.
+	Cold int
 }
 
 type fleetCase struct {
@@ -65,6 +67,8 @@
 	// EndpointsPerDaemon is the number of endpoints for each daemon.
 	EndpointsPerDaemon float64
 	Until              time.Duration
+	// ColdPerS is the rate of requests that the service's cold endpoints sustain; 0 if it states none.
+	ColdPerS float64
 	// MeasureFrom is when the counting of messages and connections begins.
 	MeasureFrom time.Duration
 	Steps       []fleetStep
@@ -171,6 +175,8 @@
 
 	mutex     sync.Mutex
 	endpoints []string
+	// coldUntil is the time until which the entries of endpoints say that they are cold, by id.
+	coldUntil map[string]time.Time
 	result    fleetResult
 	// waits is the number of conditions that await still waits for.
 	waits int
@@ -185,7 +191,7 @@
 }
 
 func newFleet(t *testing.T, cse *fleetCase, daemons int) *fleet {
-	flt := &fleet{t: t, cse: cse, store: newSimStore(), network: simNet{}}
+	flt := &fleet{t: t, cse: cse, store: newSimStore(), network: simNet{}, coldUntil: map[string]time.Time{}}
 	flt.result.daemons = daemons
 	for i := range daemons {
 		nod := newSimNode(fmt.Sprintf("10.0.%d.%d:7200", i/250, i%250))
@@ -299,14 +305,15 @@
 		flt.mutex.Lock()
 		count := len(flt.endpoints)
 		id := flt.endpoints[number%count]
+		cold := time.Until(flt.coldUntil[id])
 		flt.mutex.Unlock()
-		flt.store.put(topicEndpoints, id, entry(id))
+		flt.store.put(topicEndpoints, id, entry(id, cold))
 		time.Sleep(heartbeat / time.Duration(count))
 	}
 }
 
-func entry(id string) []byte {
-	return fmt.Appendf(nil, `{"service":"pool","address":"10.9.0.1:80","zone":"a","slots":24,"state":"ready","coldLeftMs":0,"sequence":1,"born":%d,"id":%q}`, 1000, id)
+func entry(id string, cold time.Duration) []byte {
+	return fmt.Appendf(nil, `{"service":"pool","address":"10.9.0.1:80","zone":"a","slots":24,"state":"ready","coldLeftMs":%d,"sequence":1,"born":%d,"id":%q}`, max(0, cold.Milliseconds()), 1000, id)
 }
 
 func (flt *fleet) apply(stp *fleetStep) {
@@ -337,8 +344,8 @@
 		for _, dmn := range away {
 			dmn.setTurnedAway(false)
 		}
-	case stp.Evacuate != "" || stp.Lift != "" || stp.Trim != "":
-		flt.evacuate(stp)
+	case stp.Evacuate != "" || stp.Lift != "" || stp.Trim != "" || stp.Cold > 0:
+		flt.applyZone(stp)
 	case stp.Add > 0:
 		flt.awaitListed(flt.add(stp.Add), true)
 	case stp.Remove > 0:
@@ -364,7 +371,7 @@
 
 func (flt *fleet) publish(version int64) {
 	flt.store.put(topicOperator, "config", fmt.Appendf(nil,
-		`{"version":%d,"services":[{"name":"pool","engine":{"slots":24,"kvCapacityTokens":33661,"moves":true}}]}`, version))
+		`{"version":%d,"services":[{"name":"pool","coldPerS":%g,"engine":{"slots":24,"kvCapacityTokens":33661,"moves":true}}]}`, version, flt.cse.ColdPerS))
 }
 
 // awaitVersion records the time until all daemons that are alive and not frozen have the version.
@@ -408,7 +415,7 @@
 	}
 	added := flt.endpoints[len(flt.endpoints)-count:]
 	for _, id := range added {
-		flt.store.put(topicEndpoints, id, entry(id))
+		flt.store.put(topicEndpoints, id, entry(id, 0))
 	}
 	return added
 }
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -29,6 +29,7 @@
 	members    []string
 	assignment *dispatch.Assignment
 	ring       *ring
+	madeAt     time.Time
 }
 
 // roster returns the list of the daemons that answer; it is made again only after a change.
@@ -41,7 +42,7 @@
 	}
 	ros := &roster{
 		peerChanges: snp.PeerChanges, failureChanges: exc.failureChanges,
-		answering: make(map[string]control.Peer, len(snp.Peers)), members: []string{exc.Name},
+		madeAt: exc.Now(), answering: make(map[string]control.Peer, len(snp.Peers)), members: []string{exc.Name},
 	}
 	for name, per := range snp.Peers {
 		if exc.failures[per.Address] == nil {
@@ -115,6 +116,11 @@
 	return exc.roster().members
 }
 
+// IsSteady reports whether the daemons that answer have been the same for a time.
+func (exc *Exchange) IsSteady(dur time.Duration) bool {
+	return exc.Now().Sub(exc.roster().madeAt) >= dur
+}
+
 // HasNeighbour reports whether another daemon of the same failure domain answers and is not draining.
 func (exc *Exchange) HasNeighbour() bool {
 	for _, per := range exc.Answering() {
--- a/exchange/permits.go
+++ b/exchange/permits.go
@@ -29,6 +29,9 @@
 	Named     bool    `json:"named,omitempty"`
 	// AgeMS is the time since the endpoint said so in ms.
 	AgeMS int64 `json:"ageMs"`
+	// ColdMS is for how long the endpoint is cold in ms, as its answers say; StartedAt is its start time then.
+	ColdMS    int64 `json:"coldMs,omitempty"`
+	StartedAt int64 `json:"startedAt,omitempty"`
 }
 
 // PermitRequest asks for a permit to send one request to an endpoint.
@@ -36,6 +39,8 @@
 	EndpointLimit
 	// Force is true if the request is sent in any case.
 	Force bool `json:"force,omitempty"`
+	// ColdPerSecond is the rate of requests that the endpoint sustains if the sender takes it for cold; otherwise 0.
+	ColdPerSecond float64 `json:"coldPerSecond,omitempty"`
 }
 
 // PermitReply grants a permit, or has the time until the next one.
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -132,6 +132,8 @@
 	srv.OnWork = dmn.Exchange.WorkChanged
 	srv.OnLeaving = func(id string, bornAt int64) { go dmn.markLeaving(id, bornAt) }
 	srv.AskPermit, srv.OnLimit = dmn.Exchange.AskPermit, dmn.Exchange.ShareLimit
+	srv.IsSteady = dmn.Exchange.IsSteady
+	srv.Balancer.Cold.Overage, srv.Balancer.Cold.Slack = set.Cold.Bound()
 	dmn.Prober.Name, dmn.Prober.Control, dmn.Prober.Exchange, dmn.Prober.Engines, dmn.Prober.Logger = set.Name, dmn.Control, dmn.Exchange, srv.Engines, dmn.Logger
 	dmn.Exchange.Address = set.PeerAddress
 	dmn.Control.OnLeaving = srv.EndpointLeaves
@@ -144,6 +146,7 @@
 		srv.Balancer.Forget(srv.Now(), snp.Fleet)
 		srv.Throttle.Forget(srv.Now())
 		srv.Permits.Forget(srv.Now())
+		srv.Balancer.Cold.Forget(&snp.Fleet)
 	}
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -73,6 +73,15 @@
 	return trs.refusal(ctx, rqs)
 }
 
+// noteChoice records why no endpoint could be chosen, and the time of the next permit if all that could serve the request are
+// cold.
+func (trs *tries) noteChoice(cho *dispatch.Choice) {
+	trs.noEndpoint = cho.String()
+	if cho.Reason == dispatch.ReasonLimited && cho.NextPermit > 0 {
+		trs.retryAfter = cho.NextPermit
+	}
+}
+
 // keep replaces the last complete answer.
 func (trs *tries) keep(ans *plainAnswer) {
 	if trs.answer != nil {
@@ -104,7 +113,7 @@
 func (srv *Server) tryCall(ctx context.Context, rqs *request, trs *tries) bool {
 	cho := srv.awaitEndpoint(ctx, rqs, dispatch.Work{}, true)
 	if cho.Endpoint == nil {
-		trs.noEndpoint = cho.String()
+		trs.noteChoice(&cho)
 		return false
 	}
 	if trs.condemned = srv.refuseCondemned(srv.Now(), rqs); trs.condemned != nil {
--- a/gateway/scenario_start_test.go
+++ b/gateway/scenario_start_test.go
@@ -69,7 +69,7 @@
 	edp := sit.engines[id]
 	entry, err := json.Marshal(map[string]any{
 		"service": edp.service, "address": edp.server.Listener.Addr().String(), "zone": edp.domain, "slots": 8, "state": state,
-		"sequence": sequence, "born": edp.born, "coldLeftMs": 0,
+		"sequence": sequence, "born": edp.born, "coldLeftMs": max(0, time.Until(edp.coldUntil).Milliseconds()),
 	})
 	if err != nil {
 		sit.fatalf("%v", err)
@@ -113,12 +113,16 @@
 func configuration(version string, changes []string) []byte {
 	without := map[string]bool{}
 	moved := map[string]string{}
-	more := 0
+	more, coldPerS, coldS := 0, 0, 0
 	for i := 0; i < len(changes); i++ {
 		switch changes[i] {
 		case "routes":
 			i++
 			more, _ = strconv.Atoi(changes[i])
+		case "cold": // the services' coldPerS and coldS
+			coldPerS, _ = strconv.Atoi(changes[i+1])
+			coldS, _ = strconv.Atoi(changes[i+2])
+			i += 2
 		case "without":
 			i++
 			without[changes[i]] = true
@@ -162,11 +166,16 @@
 	engine := map[string]any{
 		"slots": 8, "kvCapacityTokens": 30000, "moves": true, "backups": true, "stride": 4, "handleS": 5, "kvTokenBytes": 1000, "linkMbps": 10000,
 	}
+	services := []map[string]any{{"name": "desk", "protocol": "h1"}, {"name": "pool", "protocol": "h1", "engine": engine}}
+	if coldPerS > 0 {
+		for _, svc := range services {
+			svc["coldPerS"], svc["coldS"] = coldPerS, coldS
+		}
+	}
 	num, _ := strconv.Atoi(version)
 	data, _ := json.Marshal(map[string]any{
-		"version": num, "routes": routes, "tenants": tenants,
-		"services": []map[string]any{{"name": "desk", "protocol": "h1"}, {"name": "pool", "protocol": "h1", "engine": engine}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"version": num, "routes": routes, "tenants": tenants, "services": services,
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
 	return data
 }
--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -86,6 +86,8 @@
 	domain    string
 	born      int64
 	beats     int
+	// coldUntil is the time until which its entries say that it is cold.
+	coldUntil time.Time
 	// crashed is true after a crash until replaceCrashed.
 	crashed atomic.Bool
 }
@@ -147,7 +149,7 @@
 }
 
 func (sit *site) run(args []string) {
-	for _, one := range []func([]string) bool{sit.runSite, sit.runStop, sit.runEndpoint, sit.runCaller, sit.runWait, sit.runFleet, sit.runPrompt, sit.runLimit, sit.runEvacuation, sit.checkTraffic, sit.checkAnswer, sit.checkRuns} {
+	for _, one := range []func([]string) bool{sit.runSite, sit.runStop, sit.runEndpoint, sit.runCaller, sit.runWait, sit.runFleet, sit.runPrompt, sit.runLimit, sit.runEvacuation, sit.runCold, sit.checkTraffic, sit.checkAnswer, sit.checkRuns} {
 		if one(args) {
 			return
 		}
@@ -158,7 +160,7 @@
 // runSite runs commands for the store, the operator and daemons; it returns false for other commands.
 func (sit *site) runSite(args []string) bool {
 	switch args[0] {
-	case "publish": // publish VERSION [without ROUTE|KEY]... [move ROUTE SERVICE] [routes COUNT]
+	case "publish": // publish VERSION [without ROUTE|KEY]... [move ROUTE SERVICE] [routes COUNT] [cold PER_SECOND SECONDS]
 		sit.published = configuration(args[1], args[2:])
 		sit.markTraffic()
 		sit.store.Put("keyed.op", "config", sit.published)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -59,6 +59,8 @@
 	Permits *dispatch.Permits
 	// AskPermit asks the daemon that hands out the permits for an endpoint; without it, this daemon does.
 	AskPermit func(ctx context.Context, req *exchange.PermitRequest) (*exchange.PermitReply, error)
+	// IsSteady, if set, reports whether the daemons that answer have been the same for a time.
+	IsSteady func(dur time.Duration) bool
 	// OnLimit, if set, is called when an endpoint has named another limit or none.
 	OnLimit func(lim *exchange.EndpointLimit)
 	// OnLeaving, if set, is called when an endpoint has said in an answer that it leaves; it must not block.
@@ -125,6 +127,8 @@
 	logger       logrus.FieldLogger
 	excluded     map[string]bool
 	sends        int
+	// permitAt is when the request got its permit for a cold endpoint; the zero time if the endpoint was warm.
+	permitAt time.Time
 	// crashed is true if the request has crashed an endpoint and must not be sent to another one.
 	crashed bool
 	// trial is true if the request runs to show whether a part of its prompt crashes endpoints.
@@ -313,7 +317,7 @@
 	return &Outgoing{
 		Method: rqs.http.Method, URL: rqs.http.URL, Host: rqs.http.Host,
 		Header: srv.Wire.RequestHeader(rqs.http.Header, fwd), Body: rqs.body,
-		Check: func() error { return srv.checkSend(edp) },
+		Check: func() error { return srv.checkSend(rqs, edp) },
 	}
 }
 
@@ -381,7 +385,7 @@
 	if !errors.As(err, &sendErr) {
 		return
 	}
-	if errors.Is(err, errEvacuated) {
+	if errors.Is(err, errEvacuated) || errors.Is(err, errPermitExpired) {
 		return
 	}
 	if cause := context.Cause(ctx); errors.Is(cause, context.Canceled) || errors.Is(cause, errCondemned) || !sendErr.Sent && ctx.Err() != nil {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -142,7 +142,7 @@
 func (one *run) tryStart(ctx context.Context, trs *tries) bool {
 	cho := one.awaitEngine(ctx)
 	if cho.Endpoint == nil {
-		trs.noEndpoint = cho.String()
+		trs.noteChoice(&cho)
 		return false
 	}
 	if trs.condemned = one.server.refuseCondemned(one.server.Now(), one.request); trs.condemned != nil {
@@ -375,8 +375,7 @@
 func (one *run) resume(ctx context.Context) bool {
 	from := one.endpoint
 	if cpy := one.awaitMove(ctx); cpy != nil {
-		go one.server.permit(ctx, cpy.endpoint.ID, true)
-		if one.reopen(ctx, from, cpy.endpoint, Forward{Copy: cpy.name}) == outcomeAnswered {
+		if one.server.permitCopy(ctx, one.request, cpy.endpoint) && one.reopen(ctx, from, cpy.endpoint, Forward{Copy: cpy.name}) == outcomeAnswered {
 			return true
 		}
 	}
--- a/gateway/throttle.go
+++ b/gateway/throttle.go
@@ -44,8 +44,14 @@
 // learnFromAnswer records what an endpoint's answer says of its limit; the caller holds the mutex.
 func (srv *Server) learnFromAnswer(now time.Time, id string, ans Answer) {
 	lim := rateLimit(now, ans)
-	if srv.learnLimit(now, id, lim, sourceAnswer) && srv.OnLimit != nil {
-		go srv.OnLimit(&exchange.EndpointLimit{Endpoint: id, PerSecond: lim.PerSecond, Named: lim.Named})
+	share := srv.learnLimit(now, id, lim, sourceAnswer)
+	startedAt := srv.Snapshots.Snapshot().Fleet.Endpoints[id].StartedAt
+	if ans.ColdLeft != nil && !ans.Misdirected {
+		share = srv.learnCold(now, id, startedAt, *ans.ColdLeft, sourceAnswer) || share
+	}
+	if share && srv.OnLimit != nil {
+		cold := srv.Balancer.Cold.Stated(now, id).Milliseconds()
+		go srv.OnLimit(&exchange.EndpointLimit{Endpoint: id, PerSecond: lim.PerSecond, Named: lim.Named, ColdMS: cold, StartedAt: startedAt})
 	}
 }
 
@@ -54,7 +60,8 @@
 	now := srv.Now()
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
-	return srv.learnLimit(now, lim.Endpoint, fromPeer(now, lim), sourcePeer)
+	share := srv.learnLimit(now, lim.Endpoint, fromPeer(now, lim), sourcePeer)
+	return srv.learnColdFromPeer(now, lim) || share
 }
 
 // awaitEndpoint chooses an endpoint for the request and takes a permit for it if it names a limit. If all endpoints are
@@ -68,6 +75,10 @@
 		if cho.Endpoint != nil || !waits || ctx.Err() != nil || !now.Before(until) {
 			return cho
 		}
+		// A request that gets no permit for a cold endpoint in time is refused at once.
+		if cho.Reason == dispatch.ReasonLimited && now.Add(cho.NextPermit).After(until) {
+			return cho
+		}
 		retry.Sleep(ctx, capacityPoll)
 	}
 }
@@ -77,24 +88,28 @@
 	for {
 		// Without a permit, the endpoint is not chosen again for minDenial at least.
 		cho := srv.choose(srv.Now(), rqs, wrk, force)
-		if cho.Endpoint == nil || ctx.Err() != nil || srv.permit(ctx, cho.Endpoint.ID, false) {
+		if cho.Endpoint == nil || ctx.Err() != nil || srv.permitRequest(ctx, rqs, cho.Endpoint) {
 			return cho
 		}
 	}
 }
 
-// permit reports whether a request may be sent to an endpoint; if the endpoint names a limit, it takes a permit. With
-// force the request is sent in any case, and counts.
+// permit reports whether a request may be sent to an endpoint; if the endpoint names a limit or is cold, it takes a permit. With
+// force the request is sent in any case, and counts, unless the endpoint is cold.
 func (srv *Server) permit(ctx context.Context, id string, force bool) bool {
 	for {
 		asked := srv.Now()
-		lim, limited := srv.endpointLimit(asked, id)
-		if !limited {
+		lim, cold := srv.endpointLimit(asked, id)
+		if !lim.Named && cold == 0 {
 			return true
 		}
-		rep, err := srv.askPermit(ctx, &exchange.PermitRequest{EndpointLimit: lim, Force: force})
+		lifetime := permitLifetime
+		if cold > 0 {
+			force, lifetime = false, dispatch.ColdPermitLifetime
+		}
+		rep, err := srv.askPermit(ctx, &exchange.PermitRequest{EndpointLimit: lim, Force: force, ColdPerSecond: cold})
 		now := srv.Now()
-		if err == nil && rep.Granted && now.Sub(asked) >= permitLifetime && ctx.Err() == nil {
+		if err == nil && rep.Granted && now.Sub(asked) >= lifetime && ctx.Err() == nil {
 			continue
 		}
 		srv.mutex.Lock()
@@ -104,6 +119,7 @@
 			return force
 		}
 		srv.learnLimit(now, id, fromPeer(now, &rep.EndpointLimit), sourcePeer)
+		srv.learnColdFromPeer(now, &rep.EndpointLimit)
 		if !rep.Granted {
 			srv.Throttle.Deny(now, id, max(minDenial, milliseconds(rep.WaitMS)))
 		}
@@ -124,22 +140,41 @@
 	if srv.NoteLimit(&req.EndpointLimit) && srv.OnLimit != nil {
 		go srv.OnLimit(&req.EndpointLimit)
 	}
-	lim, limited := srv.endpointLimit(now, req.Endpoint)
-	if !limited {
+	lim, cold := srv.endpointLimit(now, req.Endpoint)
+	// The daemon that asks may know better than this one that the endpoint is cold, or not yet.
+	if cold == 0 || req.ColdPerSecond > 0 && req.ColdPerSecond < cold {
+		cold = req.ColdPerSecond
+	}
+	if !lim.Named && cold == 0 {
 		return &exchange.PermitReply{EndpointLimit: lim, Granted: true}
 	}
+	steady := cold > 0 && (srv.IsSteady == nil || srv.IsSteady(dispatch.SteadyTime))
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
-	granted, wait := srv.Permits.Take(now, req.Endpoint, lim.PerSecond, req.Force)
+	var granted bool
+	var wait time.Duration
+	switch {
+	case cold == 0:
+		granted, wait = srv.Permits.Take(now, req.Endpoint, lim.PerSecond, req.Force)
+	case lim.Named:
+		granted, wait = srv.Permits.TakeCold(now, req.Endpoint, min(cold, lim.PerSecond), srv.Balancer.Cold, steady)
+	default:
+		granted, wait = srv.Permits.TakeCold(now, req.Endpoint, cold, srv.Balancer.Cold, steady)
+	}
 	return &exchange.PermitReply{EndpointLimit: lim, Granted: granted, WaitMS: wait.Milliseconds()}
 }
 
-// endpointLimit returns what is known of an endpoint's limit, as a part of a message, and whether there is one.
-func (srv *Server) endpointLimit(now time.Time, id string) (lim exchange.EndpointLimit, limited bool) {
+// endpointLimit returns what is known of an endpoint's limit, as a part of a message, and the rate of requests that it sustains
+// if it is cold, otherwise 0. The lower one applies.
+func (srv *Server) endpointLimit(now time.Time, id string) (lim exchange.EndpointLimit, coldPerSecond float64) {
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
 	known := srv.Throttle.Limit(now, id)
-	return exchange.EndpointLimit{Endpoint: id, PerSecond: known.PerSecond, Named: known.Named, AgeMS: now.Sub(known.At).Milliseconds()}, known.Named
+	lim = exchange.EndpointLimit{Endpoint: id, PerSecond: known.PerSecond, Named: known.Named, AgeMS: now.Sub(known.At).Milliseconds()}
+	if coldPerSecond = srv.coldLimit(now, id); coldPerSecond > 0 {
+		lim.ColdMS, lim.StartedAt = srv.Balancer.Cold.Stated(now, id).Milliseconds(), srv.Snapshots.Snapshot().Fleet.Endpoints[id].StartedAt
+	}
+	return lim, coldPerSecond
 }
 
 func fromPeer(now time.Time, lim *exchange.EndpointLimit) dispatch.RateLimit {
--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -78,6 +78,8 @@
 	Leaving bool
 	// RateLimit is the number of requests a second that the endpoint takes from all daemons together; nil if it names none.
 	RateLimit *float64
+	// ColdLeft is for how long the endpoint says that it is cold, 0 if it is warm; nil if it says nothing.
+	ColdLeft *time.Duration
 }
 
 // Wire converts between HTTP headers and the gateway's types.
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -28,6 +28,7 @@
 	MemoryMB int         `yaml:"memoryMB"`
 	Retries  RetryBudget `yaml:"retries"`
 	Log      Log         `yaml:"log"`
+	Cold     Cold        `yaml:"cold"`
 }
 
 // RetryBudget limits how many requests all daemons together send again to another endpoint.
@@ -99,6 +100,7 @@
 	if set.Retries.Window <= 0 {
 		lst.Add("retries.window", "value %s is not allowed; more than 0 is expected", time.Duration(set.Retries.Window))
 	}
+	set.Cold.validate(&lst)
 	validateLog(&lst, set.Log)
 	return lst
 }
--- a/standin/siteengine.go
+++ b/standin/siteengine.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -88,6 +89,8 @@
 	mode    EngineMode
 	leaving bool
 	runs    []*SiteRun
+	// refused are the times at which requests were refused.
+	refused []time.Time
 	// active holds the open streams by attempt id.
 	active map[string]*siteGeneration
 	// copies holds, by handle, the number of events that a copied generation had produced.
@@ -97,6 +100,10 @@
 	refuseCopies bool
 	// rateLimit is the value of the header Server-Limit in answers; empty means that they have none.
 	rateLimit string
+	// coldUntil is the time until which answers have the header Cold-Ms; the zero time if they never had.
+	coldUntil time.Time
+	// pauseFor is the value of Retry-After in refusals; empty if they have none.
+	pauseFor string
 	// saysLeaving is true if all answers have the header Server-Leaving.
 	saysLeaving bool
 }
@@ -145,6 +152,20 @@
 	sen.rateLimit = perSecond
 }
 
+// SetCold makes the engine say in its answers for how long it is still cold, from now on.
+func (sen *SiteEngine) SetCold(left time.Duration) {
+	sen.mutex.Lock()
+	defer sen.mutex.Unlock()
+	sen.coldUntil = time.Now().Add(left)
+}
+
+// SetPause makes the engine's refusals ask for a pause of so many seconds; an empty text means none.
+func (sen *SiteEngine) SetPause(seconds string) {
+	sen.mutex.Lock()
+	defer sen.mutex.Unlock()
+	sen.pauseFor = seconds
+}
+
 // RefuseCopies makes the engine refuse copies of generations with status 503, as if its memory were full.
 func (sen *SiteEngine) RefuseCopies() {
 	sen.mutex.Lock()
@@ -295,8 +316,7 @@
 	}
 	sen.mutex.Unlock()
 	if mode == EngineRefuses {
-		wri.Header().Set("Not-Executed", "1")
-		wri.WriteHeader(http.StatusServiceUnavailable)
+		sen.refuse(wri)
 		return
 	}
 	deadline, _ := strconv.Atoi(hdr.Get("Deadline-Ms"))
@@ -310,6 +330,26 @@
 	sen.answer(wri, req, run, mode, from)
 }
 
+// refuse answers that the request has not run, and counts it.
+func (sen *SiteEngine) refuse(wri http.ResponseWriter) {
+	sen.mutex.Lock()
+	sen.refused = append(sen.refused, time.Now())
+	pause := sen.pauseFor
+	sen.mutex.Unlock()
+	if pause != "" {
+		wri.Header().Set("Retry-After", pause)
+	}
+	wri.Header().Set("Not-Executed", "1")
+	wri.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// Refused returns the times at which the engine refused requests.
+func (sen *SiteEngine) Refused() []time.Time {
+	sen.mutex.Lock()
+	defer sen.mutex.Unlock()
+	return slices.Clone(sen.refused)
+}
+
 func (sen *SiteEngine) answer(wri http.ResponseWriter, req *http.Request, run *SiteRun, mode EngineMode, from int) {
 	hdr := wri.Header()
 	hdr.Set("Attempt-Id", run.CallID)
@@ -317,6 +357,9 @@
 	if sen.rateLimit != "" {
 		hdr.Set("Server-Limit", sen.rateLimit)
 	}
+	if !sen.coldUntil.IsZero() {
+		hdr.Set("Cold-Ms", strconv.FormatInt(max(0, time.Until(sen.coldUntil).Milliseconds()), 10))
+	}
 	sen.mutex.Unlock()
 	if mode == EngineWrongAttemptID {
 		hdr.Set("Attempt-Id", "another")
