Heed the pause that an endpoint asks for

Cause: an endpoint that refused a request with Retry-After got the next requests of this daemon at once. A request that was chosen before the refusal arrived is checked before it is sent. Refusals name the end of the first pause.

--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -65,6 +65,8 @@
 	ReasonLimited Reason = "limited"
 	// ReasonEvacuated means that all such endpoints are in failure domains that are evacuated.
 	ReasonEvacuated Reason = "evacuated"
+	// ReasonPaused means that there are such endpoints, but they have asked for a pause.
+	ReasonPaused Reason = "paused"
 )
 
 // Request holds the properties of a request that the choice of an endpoint depends on.
@@ -84,6 +86,9 @@
 	Force bool
 	// Brief marks a request that is expected to end soon; it may fill an engine up to briefLimit.
 	Brief bool
+
+	// despitePause makes endpoints eligible that have asked for a pause.
+	despitePause bool
 }
 
 // limit returns the utilization above which an endpoint is full for the request.
@@ -105,6 +110,10 @@
 	// NextPermit is the time until the next permit for a cold endpoint, if the reason is ReasonLimited; 0 if there is no cold
 	// one among those that get no more requests now.
 	NextPermit time.Duration
+	// PausedFor is the time until the first pause of an endpoint is over, if the reason is ReasonPaused.
+	PausedFor time.Duration
+	// DespitePause is true if the endpoint has asked for a pause, and there is no other for a request with Force.
+	DespitePause bool
 }
 
 // Work is the load that a request puts on an engine; it is zero for plain services.
@@ -163,6 +172,8 @@
 	countedAt time.Time
 	// avoidUntil is the time until which the endpoint counts as unreachable.
 	avoidUntil time.Time
+	// pause is the one that the endpoint asked for last.
+	pause pause
 }
 
 // peerUsage is the usage that another daemon reported, and when the report was received.
@@ -177,8 +188,24 @@
 }
 
 // Choose scores the endpoints that accept new requests of the service and returns the best one that is not full.
-// The preference for some endpoints applies to engines only.
+// The preference for some endpoints applies to engines only. An endpoint that has asked for a pause is chosen with Force only, and
+// if there is no other.
 func (bal *Balancer) Choose(now time.Time, rnd *rand.Rand, cat *catalog.Catalog, flt catalog.FleetView, req *Request) Choice {
+	choice := bal.choosePreferred(now, rnd, cat, flt, req)
+	if choice.Endpoint != nil || choice.PausedFor == 0 || !req.Force {
+		return choice
+	}
+	despite := *req
+	despite.despitePause = true
+	if second := bal.choosePreferred(now, rnd, cat, flt, &despite); second.Endpoint != nil {
+		second.DespitePause = true
+		return second
+	}
+	return choice
+}
+
+// choosePreferred chooses among the preferred engines if one of them accepts new requests, otherwise among all endpoints.
+func (bal *Balancer) choosePreferred(now time.Time, rnd *rand.Rand, cat *catalog.Catalog, flt catalog.FleetView, req *Request) Choice {
 	if req.Preferred != nil && cat.Services[req.Service].Engine != nil {
 		if choice := bal.choose(now, rnd, cat, flt, req, true); choice.Considered > 0 {
 			return choice
@@ -200,6 +227,9 @@
 		}
 		if why := bal.barred(now, flt, &edp, req); why != "" {
 			choice.bar(why)
+			if why == ReasonPaused {
+				bal.notePause(&choice, now, &edp)
+			}
 			if why == ReasonLimited && bal.Cold.Left(now, &flt.Evacuations, &edp, &service) > 0 {
 				choice.notePermit(bal.Throttle.NextPermit(now, id))
 			}
--- a/dispatch/barred.go
+++ b/dispatch/barred.go
@@ -8,13 +8,15 @@
 
 // barringRanks orders the reasons why an endpoint may not get a request at present, whatever its load: a choice without an
 // endpoint has the highest one.
-var barringRanks = map[Reason]int{ReasonNoEndpoint: 0, ReasonEvacuated: 1, ReasonLimited: 2}
+var barringRanks = map[Reason]int{ReasonNoEndpoint: 0, ReasonEvacuated: 1, ReasonPaused: 2, ReasonLimited: 3}
 
 // barred returns the reason why an eligible endpoint may not get the request at present, or an empty one.
 func (bal *Balancer) barred(now time.Time, flt catalog.FleetView, edp *catalog.Endpoint, req *Request) Reason {
 	switch {
 	case flt.Evacuations.Has(edp.FailureDomain):
 		return ReasonEvacuated
+	case bal.isPaused(now, edp, req):
+		return ReasonPaused
 	// A copy can't wait: its engine leaves.
 	case req.Source == "" && bal.Throttle.Denied(now, edp.ID):
 		return ReasonLimited
--- a/exchange/fleet_evacuation_test.go
+++ b/exchange/fleet_evacuation_test.go
@@ -15,6 +15,11 @@
 	playFleet(t, "testdata/fleet_evacuation.yaml")
 }
 
+// isZone reports whether it is a step of an evacuation, or one in which endpoints turn cold.
+func (stp *fleetStep) isZone() bool {
+	return stp.Evacuate != "" || stp.Lift != "" || stp.Trim != "" || stp.Cold > 0
+}
+
 // applyZone applies a step of an evacuation, or one in which endpoints turn cold.
 func (flt *fleet) applyZone(stp *fleetStep) {
 	if stp.Cold > 0 {
--- a/exchange/fleet_test.go
+++ b/exchange/fleet_test.go
@@ -344,7 +344,7 @@
 		for _, dmn := range away {
 			dmn.setTurnedAway(false)
 		}
-	case stp.Evacuate != "" || stp.Lift != "" || stp.Trim != "" || stp.Cold > 0:
+	case stp.isZone():
 		flt.applyZone(stp)
 	case stp.Add > 0:
 		flt.awaitListed(flt.add(stp.Add), true)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -88,6 +88,9 @@
 	gauge("evacuated_failure_domains", "Failure domains to which no request is sent.", func(snp *control.Snapshot) float64 {
 		return float64(snp.Fleet.Evacuations.Count())
 	})
+	gauge("endpoints_paused", "Endpoints that have asked this daemon for a pause.", func(*control.Snapshot) float64 {
+		return float64(dmn.Server.pausedCount())
+	})
 	gauge("peers_answering", "Other daemons that answer.", func(*control.Snapshot) float64 { return float64(len(dmn.Exchange.Answering())) })
 	gauge("requests_in_flight", "Requests being served.", func(*control.Snapshot) float64 { return float64(dmn.Server.InFlight()) })
 	gauge("streams_waiting", "Streams that wait for room at an engine.", func(*control.Snapshot) float64 { return float64(dmn.Server.waiting.Load()) })
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -73,13 +73,16 @@
 	return trs.refusal(ctx, rqs)
 }
 
-// noteChoice records why no endpoint could be chosen, and the time of the next permit if all that could serve the request are
-// cold.
+// noteChoice records why no endpoint could be chosen, and when one may be: at the next permit for a cold one, or at the end of a
+// pause.
 func (trs *tries) noteChoice(cho *dispatch.Choice) {
 	trs.noEndpoint = cho.String()
 	if cho.Reason == dispatch.ReasonLimited && cho.NextPermit > 0 {
 		trs.retryAfter = cho.NextPermit
 	}
+	if cho.Reason == dispatch.ReasonPaused {
+		trs.retryAfter = cho.PausedFor
+	}
 }
 
 // keep replaces the last complete answer.
@@ -206,6 +209,7 @@
 	defer lnk.Close()
 	ans := srv.Wire.ParseAnswer(lnk.Response)
 	srv.noteLeaving(edp, ans)
+	srv.notePause(rqs, edp, ans)
 	if rqs.hasNotRun(ans) {
 		srv.noteAnswer(edp.ID, ans, false)
 		return nil, outcomeNotRun, nil
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -129,6 +129,8 @@
 	sends        int
 	// permitAt is when the request got its permit for a cold endpoint; the zero time if the endpoint was warm.
 	permitAt time.Time
+	// despitePause is true if the last endpoint was chosen though it has asked for a pause.
+	despitePause bool
 	// crashed is true if the request has crashed an endpoint and must not be sent to another one.
 	crashed bool
 	// trial is true if the request runs to show whether a part of its prompt crashes endpoints.
@@ -295,9 +297,11 @@
 
 // choose selects an endpoint for the request.
 func (srv *Server) choose(now time.Time, rqs *request, wrk dispatch.Work, force bool) dispatch.Choice {
-	return srv.decide(now, &dispatch.Request{
+	cho := srv.decide(now, &dispatch.Request{
 		Service: rqs.service, Work: wrk, Target: rqs.route.Target, Excluded: rqs.excluded, Force: force, Brief: rqs.route.Resumable,
 	})
+	rqs.despitePause = cho.DespitePause
+	return cho
 }
 
 func (srv *Server) decide(now time.Time, req *dispatch.Request) dispatch.Choice {
@@ -317,7 +321,7 @@
 	return &Outgoing{
 		Method: rqs.http.Method, URL: rqs.http.URL, Host: rqs.http.Host,
 		Header: srv.Wire.RequestHeader(rqs.http.Header, fwd), Body: rqs.body,
-		Check: func() error { return srv.checkSend(rqs, edp) },
+		Check: func() error { return srv.checkSend(rqs, edp, &fwd) },
 	}
 }
 
@@ -385,7 +389,7 @@
 	if !errors.As(err, &sendErr) {
 		return
 	}
-	if errors.Is(err, errEvacuated) || errors.Is(err, errPermitExpired) {
+	if isNotSentByChoice(err) {
 		return
 	}
 	if cause := context.Cause(ctx); errors.Is(cause, context.Canceled) || errors.Is(cause, errCondemned) || !sendErr.Sent && ctx.Err() != nil {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -220,6 +220,7 @@
 	rqs.sends++
 	ans := srv.Wire.ParseAnswer(lnk.Response)
 	srv.noteLeaving(edp, ans)
+	srv.notePause(rqs, edp, ans)
 	srv.noteAnswer(edp.ID, ans, !ans.NotRun && lnk.Response.StatusCode < 500)
 	if rqs.hasNotRun(ans) {
 		srv.end(flt)
--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -80,6 +80,8 @@
 	RateLimit *float64
 	// ColdLeft is for how long the endpoint says that it is cold, 0 if it is warm; nil if it says nothing.
 	ColdLeft *time.Duration
+	// Pause is the time for which a refusal asks this daemon to send the endpoint nothing; 0 if it asks for none.
+	Pause time.Duration
 }
 
 // Wire converts between HTTP headers and the gateway's types.
