Let the hostile tests state that nothing is evacuated

Cause: TestHostileEndpoints and TestTruncatedAnswers give their server a configuration and endpoints without the operator's evacuations, so that it refused all requests (503) since it has to know them first.

--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -226,13 +226,7 @@
 			continue
 		}
 		if why := bal.barred(now, flt, &edp, req); why != "" {
-			choice.bar(why)
-			if why == ReasonPaused {
-				bal.notePause(&choice, now, &edp)
-			}
-			if why == ReasonLimited && bal.Cold.Left(now, &flt.Evacuations, &edp, &service) > 0 {
-				choice.notePermit(bal.Throttle.NextPermit(now, id))
-			}
+			bal.bar(&choice, why, now, &flt.Evacuations, &edp, &service)
 			continue
 		}
 		choice.Considered++
--- a/dispatch/barred.go
+++ b/dispatch/barred.go
@@ -46,9 +46,15 @@
 	}
 }
 
-// bar records why an endpoint was not considered.
-func (cho *Choice) bar(why Reason) {
+// bar records why an endpoint was not considered, and until when if its pause or the lack of permits for a cold one is the reason.
+func (bal *Balancer) bar(cho *Choice, why Reason, now time.Time, evs *catalog.Evacuations, edp *catalog.Endpoint, svc *catalog.Service) {
 	if cho.Considered == 0 && barringRanks[why] > barringRanks[cho.Reason] {
 		cho.Reason = why
 	}
+	switch {
+	case why == ReasonPaused:
+		bal.notePause(cho, now, edp)
+	case why == ReasonLimited && bal.Cold.Left(now, evs, edp, svc) > 0:
+		cho.notePermit(bal.Throttle.NextPermit(now, edp.ID))
+	}
 }
--- a/gateway/hostile_test.go
+++ b/gateway/hostile_test.go
@@ -131,6 +131,8 @@
 	ctl.Logger = logger
 	go ctl.Run(ctx)
 	ctl.Send(ctx, control.ConfigurationUpdate{Catalog: cat})
+	// A daemon does not serve before it knows the evacuated failure domains.
+	ctl.Send(ctx, control.Evacuations{Whole: true})
 	ctl.Send(ctx, upd)
 	for len(ctl.Snapshot().Fleet.Endpoints) < len(upd.Endpoints) {
 		time.Sleep(time.Millisecond)
