Keep the texts that proof removes

Cause: three changes of proof/changes.yaml no longer applied (slowStreamsLast, permitsTaken, failedCopyExplained; TestChangesApply failed).

--- a/gateway/move.go
+++ b/gateway/move.go
@@ -235,6 +235,10 @@
 	defer one.server.end(flt)
 	began := one.server.Now()
 	res, rounds, err := one.copyRunning(ctx, source, target)
+	if err == nil && one.server.isEvacuated(target) {
+		one.dropCopy(source, res)
+		err = errEvacuated
+	}
 	if err != nil {
 		log.WithError(err).WithField(fieldElapsed, one.server.Now().Sub(began)).Info("generation could not be copied")
 		one.server.Metrics.moves.WithLabelValues("failed").Inc()
@@ -245,12 +249,6 @@
 		one.dropCopy(source, res)
 		return false
 	}
-	if one.server.isEvacuated(target) {
-		one.dropCopy(source, res)
-		log.WithField("error", errEvacuated.Error()).Info("generation could not be copied")
-		one.server.Metrics.moves.WithLabelValues("failed").Inc()
-		return false
-	}
 	one.setStopping()
 	rest, err := engines.Copy(ctx, source.Address, one.ID, target.Address, true)
 	if err == nil && rest.Handle != "" {
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -70,7 +70,10 @@
 	excluded[id] = true
 	return func() bool {
 		cho := srv.decide(srv.Now(), &dispatch.Request{Service: rqs.service, Work: wrk, Target: rqs.route.Target, Excluded: excluded, Force: true})
-		if cho.Endpoint == nil || cho.DespitePause || !srv.spend(rqs) {
+		if cho.DespitePause {
+			return false
+		}
+		if cho.Endpoint == nil || !srv.spend(rqs) {
 			return false
 		}
 		rqs.prepaid.Store(true)
