--- a/gateway/ready_test.go
+++ b/gateway/ready_test.go
@@ -18,26 +18,36 @@
 func TestReadyAfterEvacuations(t *testing.T) {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	dmn := NewDaemon()
-	dmn.Control.Logger = logger
-	go dmn.Control.Run(t.Context())
-	for _, stp := range []struct {
-		input control.Input
-		want  int
+	view := []control.Input{
+		control.ConfigurationUpdate{Catalog: catalog.NewCatalog(1, nil, nil, nil)},
+		control.EndpointUpdate{Endpoints: []catalog.Endpoint{{ID: "e", State: catalog.StateReady}}},
+	}
+	for _, cse := range []struct {
+		name   string
+		inputs []control.Input
+		want   int
 	}{
-		{control.ConfigurationUpdate{Catalog: catalog.NewCatalog(1, nil, nil, nil)}, http.StatusServiceUnavailable},
-		{control.EndpointUpdate{Endpoints: []catalog.Endpoint{{ID: "e", State: catalog.StateReady}}}, http.StatusServiceUnavailable},
-		{control.Evacuations{Peer: &catalog.Evacuations{ReadTo: 1}, Source: "peer"}, http.StatusOK},
+		{"unread", view, http.StatusServiceUnavailable},
+		{"fromPeer", append(view[:2:2], control.Evacuations{Peer: &catalog.Evacuations{ReadTo: 1}, Source: "peer"}), http.StatusOK},
+		{"fromStore", append(view[:2:2], control.Evacuations{Whole: true}), http.StatusOK},
 	} {
-		dmn.Control.Send(t.Context(), stp.input)
-		got := 0
-		for until := time.Now().Add(200 * time.Millisecond); got != http.StatusOK && time.Now().Before(until); time.Sleep(time.Millisecond) {
-			rec := httptest.NewRecorder()
-			dmn.answerReady(rec, nil)
-			got = rec.Code
-		}
-		if got != stp.want {
-			t.Errorf("got status %d after %T, want %d", got, stp.input, stp.want)
-		}
+		t.Run(cse.name, func(t *testing.T) {
+			dmn := NewDaemon()
+			dmn.Control.Logger = logger
+			ctx := t.Context()
+			go dmn.Control.Run(ctx)
+			for _, inp := range cse.inputs {
+				dmn.Control.Send(ctx, inp)
+			}
+			got := 0
+			for until := time.Now().Add(200 * time.Millisecond); got != http.StatusOK && time.Now().Before(until); time.Sleep(time.Millisecond) {
+				rec := httptest.NewRecorder()
+				dmn.answerReady(rec, nil)
+				got = rec.Code
+			}
+			if got != cse.want {
+				t.Errorf("got status %d, want %d", got, cse.want)
+			}
+		})
 	}
 }
