--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"papayacroft/catalog"
+	"papayacroft/control"
 	"papayacroft/exchange"
 	"papayacroft/retry"
 )
@@ -40,6 +41,31 @@
 	return srv.coldLimit(now, id) > 0
 }
 
+// coldCount returns the number of cold endpoints of services that state a rate for those.
+func (srv *Server) coldCount(snp *control.Snapshot) int {
+	if snp.Catalog == nil {
+		return 0
+	}
+	srv.mutex.Lock()
+	defer srv.mutex.Unlock()
+	count, now := 0, srv.Now()
+	for id := range snp.Fleet.Endpoints {
+		if srv.coldLimit(now, id) > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// countPermit counts the answer to a request for a permit for a cold endpoint.
+func (srv *Server) countPermit(granted bool) {
+	outcome := "denied"
+	if granted {
+		outcome = "granted"
+	}
+	srv.Metrics.permits.WithLabelValues(outcome).Inc()
+}
+
 // learnCold records for how long an endpoint says that it is cold, and reports whether to announce it to other daemons; the
 // caller holds the mutex.
 func (srv *Server) learnCold(now time.Time, id string, startedAt int64, left time.Duration, source string) (share bool) {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -33,6 +33,8 @@
 	limits *prometheus.CounterVec
 	// unreadable counts figures of load reports that could not be read, by the figure.
 	unreadable *prometheus.CounterVec
+	// permits counts the requests for permits for cold endpoints that this daemon answered, by outcome.
+	permits *prometheus.CounterVec
 	calls, firstEvents,
 	pauses prometheus.Histogram
 }
@@ -56,6 +58,9 @@
 		unreadable: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metricsNamespace, Name: "load_figures_unreadable_total", Help: "Figures of endpoints' load reports that could not be read, by the figure.",
 		}, []string{"figure"}),
+		permits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "permits_total", Help: "Requests for permits for cold endpoints that this daemon answered, by outcome.",
+		}, []string{fieldOutcome}),
 		calls: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: metricsNamespace, Name: "call_seconds", Help: "Time to the answer of plain calls.", Buckets: callBuckets,
 		}),
@@ -66,7 +71,7 @@
 			Namespace: metricsNamespace, Name: "longest_pause_seconds", Help: "Longest pause between two events of a complete stream.", Buckets: callBuckets,
 		}),
 	}
-	met.registry.MustRegister(met.requests, met.sends, met.moves, met.limits, met.unreadable, met.calls, met.firstEvents, met.pauses,
+	met.registry.MustRegister(met.requests, met.sends, met.moves, met.limits, met.unreadable, met.permits, met.calls, met.firstEvents, met.pauses,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return met
 }
@@ -88,6 +93,9 @@
 	gauge("evacuated_failure_domains", "Failure domains to which no request is sent.", func(snp *control.Snapshot) float64 {
 		return float64(snp.Fleet.Evacuations.Count())
 	})
+	gauge("endpoints_cold", "Endpoints that are cold, of services with a rate for those.", func(snp *control.Snapshot) float64 {
+		return float64(dmn.Server.coldCount(snp))
+	})
 	gauge("endpoints_paused", "Endpoints that have asked this daemon for a pause.", func(*control.Snapshot) float64 {
 		return float64(dmn.Server.pausedCount())
 	})
--- a/gateway/throttle.go
+++ b/gateway/throttle.go
@@ -161,6 +161,9 @@
 	default:
 		granted, wait = srv.Permits.TakeCold(now, req.Endpoint, cold, srv.Balancer.Cold, steady)
 	}
+	if cold > 0 {
+		srv.countPermit(granted)
+	}
 	return &exchange.PermitReply{EndpointLimit: lim, Granted: granted, WaitMS: wait.Milliseconds()}
 }
 
