--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -63,6 +63,10 @@
 	ReasonFull Reason = "full"
 	// ReasonLimited means that there are such endpoints, but they have named limits and get no more requests now.
 	ReasonLimited Reason = "limited"
+	// ReasonEvacuated means that all such endpoints are in failure domains that are evacuated.
+	ReasonEvacuated Reason = "evacuated"
+	// ReasonPaused means that there are such endpoints, but they have asked for a pause.
+	ReasonPaused Reason = "paused"
 )
 
 // Request holds the properties of a request that the choice of an endpoint depends on.
@@ -84,6 +88,9 @@
 	Brief bool
 	// Parts are the parts of the prompt in order; the last one belongs to the request or its session.
 	Parts []Part
+
+	// despitePause makes endpoints eligible that have asked for a pause.
+	despitePause bool
 }
 
 // limit returns the utilization above which an endpoint is full for the request.
@@ -109,6 +116,13 @@
 	SecondScore float64
 	// Held is the number of prompt tokens that the chosen endpoint is expected to hold.
 	Held int
+	// NextPermit is the time until the next permit for a cold endpoint, if the reason is ReasonLimited; 0 if there is no cold
+	// one among those that get no more requests now.
+	NextPermit time.Duration
+	// PausedFor is the time until the first pause of an endpoint is over, if the reason is ReasonPaused.
+	PausedFor time.Duration
+	// DespitePause is true if the endpoint has asked for a pause, and there is no other for a request with Force.
+	DespitePause bool
 }
 
 // Work is the load that a request puts on an engine; it is zero for plain services.
@@ -160,6 +174,8 @@
 	Speeds *Speeds
 	// Prefixes knows which parts of prompts engines hold.
 	Prefixes *Prefixes
+	// Cold knows the endpoints that are cold.
+	Cold *Cold
 
 	endpoints map[string]*endpoint
 }
@@ -180,6 +196,8 @@
 	countedAt time.Time
 	// avoidUntil is the time until which the endpoint counts as unreachable.
 	avoidUntil time.Time
+	// pause is the one that the endpoint asked for last.
+	pause pause
 }
 
 // peerUsage is the usage that another daemon reported, and when the report was received.
@@ -190,12 +208,30 @@
 
 // NewBalancer returns a balancer without any recorded load or failure.
 func NewBalancer() *Balancer {
-	return &Balancer{Throttle: NewThrottle(), Speeds: NewSpeeds(), Prefixes: NewPrefixes(), endpoints: map[string]*endpoint{}}
+	return &Balancer{
+		Throttle: NewThrottle(), Speeds: NewSpeeds(), Prefixes: NewPrefixes(), Cold: NewCold(), endpoints: map[string]*endpoint{},
+	}
 }
 
 // Choose scores the endpoints that accept new requests of the service and returns the best one that is not full.
-// The preference for some endpoints applies to engines only.
+// The preference for some endpoints applies to engines only. An endpoint that has asked for a pause is chosen with Force only, and
+// if there is no other.
 func (bal *Balancer) Choose(now time.Time, rnd *rand.Rand, cat *catalog.Catalog, flt catalog.FleetView, req *Request) Choice {
+	choice := bal.choosePreferred(now, rnd, cat, flt, req)
+	if choice.Endpoint != nil || choice.PausedFor == 0 || !req.Force {
+		return choice
+	}
+	despite := *req
+	despite.despitePause = true
+	if second := bal.choosePreferred(now, rnd, cat, flt, &despite); second.Endpoint != nil {
+		second.DespitePause = true
+		return second
+	}
+	return choice
+}
+
+// choosePreferred chooses among the preferred engines if one of them accepts new requests, otherwise among all endpoints.
+func (bal *Balancer) choosePreferred(now time.Time, rnd *rand.Rand, cat *catalog.Catalog, flt catalog.FleetView, req *Request) Choice {
 	if req.Preferred != nil && cat.Services[req.Service].Engine != nil {
 		if choice := bal.choose(now, rnd, cat, flt, req, true); choice.Considered > 0 {
 			return choice
@@ -208,22 +244,21 @@
 // It adds a small random amount to each score to break ties.
 func (bal *Balancer) choose(now time.Time, rnd *rand.Rand, cat *catalog.Catalog, flt catalog.FleetView, req *Request, preferred bool) Choice {
 	choice := Choice{Reason: ReasonNoEndpoint, Score: math.Inf(1)}
-	engine := cat.Services[req.Service].Engine
+	service := cat.Services[req.Service]
+	engine := service.Engine
 	pln := bal.planPrefix(now, cat, flt, req, preferred)
 	for id, edp := range flt.Endpoints {
 		sta, ok := bal.eligible(flt, &edp, req)
 		if !ok || preferred && !req.Preferred[id] {
 			continue
 		}
-		// A copy can't wait: its engine leaves.
-		if req.Source == "" && bal.Throttle.Denied(now, id) {
-			if choice.Considered == 0 {
-				choice.Reason = ReasonLimited
-			}
+		if why := bal.barred(now, flt, &edp, req); why != "" {
+			bal.bar(&choice, why, now, &flt.Evacuations, &edp, &service)
 			continue
 		}
 		choice.Considered++
 		score, full := bal.rate(now, sta, &edp, engine, req)
+		score += bal.coldScore(now, &flt.Evacuations, &edp, &service, req)
 		if full && !req.Force {
 			if choice.Endpoint == nil {
 				choice.Reason = ReasonFull
@@ -267,9 +302,6 @@
 	case req.Source == "" && edp.FailureDomain != bal.FailureDomain:
 		score += distancePenalty
 	}
-	if now.Before(edp.WarmAt) {
-		score += coldPenalty
-	}
 	if now.Before(sta.avoidUntil) {
 		score += unreachablePenalty
 	}
--- a/exchange/fleet_test.go
+++ b/exchange/fleet_test.go
@@ -47,11 +47,17 @@
 	Publish int64
 	// Kill, Freeze and TurnAway affect daemons: "reader" and "relay" are the first readers of the
 	// endpoints and of the configuration, "successors" the first four readers of the configuration, "others" all but the
-	// first readers, "third" and "thirdOfOthers" every third, "all" all.
+	// first readers, "all" all, "third" and "thirdOfOthers" every third.
 	Kill, Freeze, TurnAway string
 	// Add is the number of endpoints that start, Remove the share of those present whose entries are removed.
 	Add    int
 	Remove float64
+	// Evacuate and Lift name a failure domain whose evacuation the operator begins or ends.
+	Evacuate, Lift string
+	// Trim names a failure domain: the store drops all log records, and the one of its evacuation with them.
+	Trim string
+	// Cold is the number of endpoints, the first ones, whose entries say from now on that they are cold.
+	Cold int
 }
 
 type fleetCase struct {
@@ -61,6 +67,8 @@
 	// EndpointsPerDaemon is the number of endpoints for each daemon.
 	EndpointsPerDaemon float64
 	Until              time.Duration
+	// ColdPerS is the rate of requests that the service's cold endpoints sustain; 0 if it states none.
+	ColdPerS float64
 	// MeasureFrom is when the counting of messages and connections begins.
 	MeasureFrom time.Duration
 	Steps       []fleetStep
@@ -72,6 +80,8 @@
 	// InForce and Known are the times until each reachable daemon has a published version, and knows of added and removed
 	// endpoints.
 	InForce, Known time.Duration
+	// Evacuated is the time until each reachable daemon knows that an evacuation has begun or ended.
+	Evacuated time.Duration
 	// Growth is the greatest ratio between the largest and the smallest size of messages and of bytes a daemon.
 	Growth float64
 	// CallsPerDaemon is the number of calls to the store that each further daemon may add.
@@ -86,6 +96,7 @@
 	messages, bytes    float64
 	connections, calls float64
 	inForce, known     time.Duration
+	evacuated          time.Duration
 }
 
 // connectionBound returns the mean number of connections if each daemon had one in each direction to the other users of
@@ -99,7 +110,11 @@
 // Each case of testdata/fleet.yaml plays daemons with the real exchange, feeds and control goroutine in simulated time,
 // over a network and a store in memory, and checks what each daemon sends and how soon all know.
 func TestFleet(t *testing.T) {
-	data, err := os.ReadFile("testdata/fleet.yaml")
+	playFleet(t, "testdata/fleet.yaml")
+}
+
+func playFleet(t *testing.T, file string) {
+	data, err := os.ReadFile(file)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -123,14 +138,17 @@
 
 func (bnd *fleetBounds) check(t *testing.T, results []fleetResult) {
 	for _, res := range results {
-		t.Logf("%d daemons: %.1f messages/s, %.0f B/s, %.1f connections a daemon, %.0f calls to the store, in force after %v, endpoints known after %v",
-			res.daemons, res.messages, res.bytes, res.connections, res.calls, res.inForce, res.known)
+		t.Logf("%d daemons: %.1f messages/s, %.0f B/s, %.1f connections a daemon, %.0f calls to the store, in force after %v, endpoints known after %v, evacuations after %v",
+			res.daemons, res.messages, res.bytes, res.connections, res.calls, res.inForce, res.known, res.evacuated)
 		if bnd.InForce > 0 && res.inForce > bnd.InForce {
 			t.Errorf("%d daemons: got a version in force after %v, want %v at most", res.daemons, res.inForce, bnd.InForce)
 		}
 		if bnd.Known > 0 && res.known > bnd.Known {
 			t.Errorf("%d daemons: got endpoints known after %v, want %v at most", res.daemons, res.known, bnd.Known)
 		}
+		if bnd.Evacuated > 0 && res.evacuated > bnd.Evacuated {
+			t.Errorf("%d daemons: got an evacuation known after %v, want %v at most", res.daemons, res.evacuated, bnd.Evacuated)
+		}
 		if most := res.connectionBound(); bnd.Connections && res.connections > most {
 			t.Errorf("%d daemons: got %.1f connections a daemon, want %.1f at most", res.daemons, res.connections, most)
 		}
@@ -157,7 +175,11 @@
 
 	mutex     sync.Mutex
 	endpoints []string
+	// coldUntil is the time until which the entries of endpoints say that they are cold, by id.
+	coldUntil map[string]time.Time
 	result    fleetResult
+	// waits is the number of conditions that await still waits for.
+	waits int
 }
 
 // fleetDaemon is one simulated daemon.
@@ -169,7 +191,7 @@
 }
 
 func newFleet(t *testing.T, cse *fleetCase, daemons int) *fleet {
-	flt := &fleet{t: t, cse: cse, store: newSimStore(), network: simNet{}}
+	flt := &fleet{t: t, cse: cse, store: newSimStore(), network: simNet{}, coldUntil: map[string]time.Time{}}
 	flt.result.daemons = daemons
 	for i := range daemons {
 		nod := newSimNode(fmt.Sprintf("10.0.%d.%d:7200", i/250, i%250))
@@ -215,6 +237,9 @@
 	}
 	flt.mutex.Lock()
 	defer flt.mutex.Unlock()
+	if flt.waits > 0 {
+		flt.t.Errorf("got %d waits without an end, want none", flt.waits)
+	}
 	return flt.result
 }
 
@@ -280,14 +305,15 @@
 		flt.mutex.Lock()
 		count := len(flt.endpoints)
 		id := flt.endpoints[number%count]
+		cold := time.Until(flt.coldUntil[id])
 		flt.mutex.Unlock()
-		flt.store.put(topicEndpoints, id, entry(id))
+		flt.store.put(topicEndpoints, id, entry(id, cold))
 		time.Sleep(heartbeat / time.Duration(count))
 	}
 }
 
-func entry(id string) []byte {
-	return fmt.Appendf(nil, `{"service":"pool","address":"10.9.0.1:80","zone":"a","slots":24,"state":"ready","coldLeftMs":0,"sequence":1,"born":%d,"id":%q}`, 1000, id)
+func entry(id string, cold time.Duration) []byte {
+	return fmt.Appendf(nil, `{"service":"pool","address":"10.9.0.1:80","zone":"a","slots":24,"state":"ready","coldLeftMs":%d,"sequence":1,"born":%d,"id":%q}`, max(0, cold.Milliseconds()), 1000, id)
 }
 
 func (flt *fleet) apply(stp *fleetStep) {
@@ -318,6 +344,8 @@
 		for _, dmn := range away {
 			dmn.setTurnedAway(false)
 		}
+	case stp.isZone():
+		flt.applyZone(stp)
 	case stp.Add > 0:
 		flt.awaitListed(flt.add(stp.Add), true)
 	case stp.Remove > 0:
@@ -332,7 +360,7 @@
 		others := dmn.Rank(topicOperator) > 0 && dmn.Rank(topicEndpoints) > 0
 		match := map[string]bool{
 			"third": i%3 == 0, "reader": dmn.Rank(topicEndpoints) == 0, "relay": dmn.Rank(topicOperator) == 0, "successors": dmn.Rank(topicOperator) < 4,
-			"others": others, "thirdOfOthers": others && i%3 == 0, "all": true,
+			"all": true, "others": others, "thirdOfOthers": others && i%3 == 0,
 		}
 		if match[which] {
 			all = append(all, dmn)
@@ -343,7 +371,7 @@
 
 func (flt *fleet) publish(version int64) {
 	flt.store.put(topicOperator, "config", fmt.Appendf(nil,
-		`{"version":%d,"services":[{"name":"pool","engine":{"slots":24,"kvCapacityTokens":33661,"moves":true}}]}`, version))
+		`{"version":%d,"services":[{"name":"pool","coldPerS":%g,"engine":{"slots":24,"kvCapacityTokens":33661,"moves":true}}]}`, version, flt.cse.ColdPerS))
 }
 
 // awaitVersion records the time until all daemons that are alive and not frozen have the version.
@@ -357,6 +385,8 @@
 
 // await waits until a condition holds at all daemons that are alive and not frozen, or until the case ends.
 func (flt *fleet) await(holds func(dmn *fleetDaemon) bool) {
+	flt.addWaits(1)
+	defer flt.addWaits(-1)
 	for _, dmn := range flt.daemons {
 		for flt.ctx.Err() == nil && dmn.isServing() && !holds(dmn) {
 			time.Sleep(checkPoll)
@@ -364,6 +394,12 @@
 	}
 }
 
+func (flt *fleet) addWaits(count int) {
+	flt.mutex.Lock()
+	defer flt.mutex.Unlock()
+	flt.waits += count
+}
+
 func (nod *simNode) isServing() bool {
 	nod.mutex.Lock()
 	defer nod.mutex.Unlock()
@@ -379,7 +415,7 @@
 	}
 	added := flt.endpoints[len(flt.endpoints)-count:]
 	for _, id := range added {
-		flt.store.put(topicEndpoints, id, entry(id))
+		flt.store.put(topicEndpoints, id, entry(id, 0))
 	}
 	return added
 }
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -133,6 +133,8 @@
 	srv.OnWork = dmn.Exchange.WorkChanged
 	srv.OnLeaving = func(id string, bornAt int64) { go dmn.markLeaving(id, bornAt) }
 	srv.AskPermit, srv.OnLimit = dmn.Exchange.AskPermit, dmn.Exchange.ShareLimit
+	srv.IsSteady = dmn.Exchange.IsSteady
+	srv.Balancer.Cold.Overage, srv.Balancer.Cold.Slack = set.Cold.Bound()
 	dmn.Prober.Name, dmn.Prober.Control, dmn.Prober.Exchange, dmn.Prober.Engines, dmn.Prober.Logger = set.Name, dmn.Control, dmn.Exchange, srv.Engines, dmn.Logger
 	dmn.Exchange.Address = set.PeerAddress
 	dmn.Control.OnLeaving = srv.EndpointLeaves
@@ -147,6 +149,7 @@
 		srv.Balancer.Prefixes.Forget(srv.Now(), snp.Fleet)
 		srv.Throttle.Forget(srv.Now())
 		srv.Permits.Forget(srv.Now())
+		srv.Balancer.Cold.Forget(&snp.Fleet)
 	}
 }
 
@@ -183,7 +186,7 @@
 // answerReady is the readiness check of the load balancer: status 200 if the daemon accepts requests, otherwise 503.
 func (dmn *Daemon) answerReady(wri http.ResponseWriter, _ *http.Request) {
 	// With routes but without endpoints, the daemon would refuse each request.
-	if snp := dmn.Control.Snapshot(); dmn.Server.Draining() || snp.Catalog == nil || len(snp.Fleet.Endpoints) == 0 {
+	if snp := dmn.Control.Snapshot(); dmn.Server.Draining() || snp.Catalog == nil || snp.Fleet.Evacuations.Unread || len(snp.Fleet.Endpoints) == 0 {
 		wri.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -34,6 +34,10 @@
 	// heldTokens counts the prompt tokens that engines were expected to hold, promptTokens those that were sent, for
 	// services for which held parts of prompts are weighed.
 	heldTokens, promptTokens prometheus.Counter
+	// unreadable counts figures of load reports that could not be read, by the figure.
+	unreadable *prometheus.CounterVec
+	// permits counts the requests for permits for cold endpoints that this daemon answered, by outcome.
+	permits *prometheus.CounterVec
 	calls, firstEvents,
 	pauses prometheus.Histogram
 	speeds *speedMetrics
@@ -61,6 +65,12 @@
 		promptTokens: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: metricsNamespace, Name: "prompt_tokens_sent_total", Help: "Prompt tokens sent to engines for which held parts of prompts are weighed.",
 		}),
+		unreadable: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "load_figures_unreadable_total", Help: "Figures of endpoints' load reports that could not be read, by the figure.",
+		}, []string{"figure"}),
+		permits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "permits_total", Help: "Requests for permits for cold endpoints that this daemon answered, by outcome.",
+		}, []string{fieldOutcome}),
 		calls: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: metricsNamespace, Name: "call_seconds", Help: "Time to the answer of plain calls.", Buckets: callBuckets,
 		}),
@@ -71,7 +81,8 @@
 			Namespace: metricsNamespace, Name: "longest_pause_seconds", Help: "Longest pause between two events of a complete stream.", Buckets: callBuckets,
 		}),
 	}
-	met.registry.MustRegister(met.requests, met.sends, met.moves, met.limits, met.heldTokens, met.promptTokens, met.calls, met.firstEvents, met.pauses,
+	met.registry.MustRegister(met.requests, met.sends, met.moves, met.limits, met.heldTokens, met.promptTokens, met.unreadable, met.permits,
+		met.calls, met.firstEvents, met.pauses,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	met.speeds = newSpeedMetrics(met.registry)
 	return met
@@ -91,6 +102,15 @@
 	})
 	gauge("endpoints", "Endpoints known.", func(snp *control.Snapshot) float64 { return float64(len(snp.Fleet.Endpoints)) })
 	gauge("endpoints_leaving", "Endpoints known to leave.", func(snp *control.Snapshot) float64 { return float64(len(snp.Fleet.Leaving)) })
+	gauge("evacuated_failure_domains", "Failure domains to which no request is sent.", func(snp *control.Snapshot) float64 {
+		return float64(snp.Fleet.Evacuations.Count())
+	})
+	gauge("endpoints_cold", "Endpoints that are cold, of services with a rate for those.", func(snp *control.Snapshot) float64 {
+		return float64(dmn.Server.coldCount(snp))
+	})
+	gauge("endpoints_paused", "Endpoints that have asked this daemon for a pause.", func(*control.Snapshot) float64 {
+		return float64(dmn.Server.pausedCount())
+	})
 	gauge("peers_answering", "Other daemons that answer.", func(*control.Snapshot) float64 { return float64(len(dmn.Exchange.Answering())) })
 	gauge("requests_in_flight", "Requests being served.", func(*control.Snapshot) float64 { return float64(dmn.Server.InFlight()) })
 	gauge("streams_waiting", "Streams that wait for room at an engine.", func(*control.Snapshot) float64 { return float64(dmn.Server.waiting.Load()) })
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -235,6 +235,10 @@
 	defer one.server.end(flt)
 	began := one.server.Now()
 	res, rounds, err := one.copyRunning(ctx, source, target)
+	if err == nil && one.server.isEvacuated(target) {
+		one.dropCopy(source, res)
+		err = errEvacuated
+	}
 	if err != nil {
 		log.WithError(err).WithField(fieldElapsed, one.server.Now().Sub(began)).Info("generation could not be copied")
 		one.server.Metrics.moves.WithLabelValues("failed").Inc()
@@ -306,7 +310,7 @@
 		rounds++
 		res, err = one.server.Engines.Copy(ctx, source.Address, one.ID, target.Address, false)
 		now := one.server.Now()
-		if err != nil || now.Sub(began) < expected+shortCopy || now.Sub(first) > copyTime {
+		if err != nil || now.Sub(began) < expected+shortCopy || now.Sub(first) > copyTime || one.server.isEvacuated(target) {
 			return res, rounds, err
 		}
 		began, expected = now, 0
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -73,6 +73,18 @@
 	return trs.refusal(ctx, rqs)
 }
 
+// noteChoice records why no endpoint could be chosen, and when one may be: at the next permit for a cold one, or at the end of a
+// pause.
+func (trs *tries) noteChoice(cho *dispatch.Choice) {
+	trs.noEndpoint = cho.String()
+	if cho.Reason == dispatch.ReasonLimited && cho.NextPermit > 0 {
+		trs.retryAfter = cho.NextPermit
+	}
+	if cho.Reason == dispatch.ReasonPaused {
+		trs.retryAfter = cho.PausedFor
+	}
+}
+
 // keep replaces the last complete answer.
 func (trs *tries) keep(ans *plainAnswer) {
 	if trs.answer != nil {
@@ -104,7 +116,7 @@
 func (srv *Server) tryCall(ctx context.Context, rqs *request, trs *tries) bool {
 	cho := srv.awaitEndpoint(ctx, rqs, dispatch.Work{}, true)
 	if cho.Endpoint == nil {
-		trs.noEndpoint = cho.String()
+		trs.noteChoice(&cho)
 		return false
 	}
 	if trs.condemned = srv.refuseCondemned(srv.Now(), rqs); trs.condemned != nil {
@@ -184,7 +196,7 @@
 	}
 	flt := srv.begin(edp.ID, dispatch.Work{})
 	defer srv.end(flt)
-	lnk, err := Open(ctx, edp.Address, srv.outgoing(rqs, Forward{Endpoint: edp.ID, Priority: -1}))
+	lnk, err := Open(ctx, edp.Address, srv.outgoing(rqs, edp, Forward{Endpoint: edp.ID, Priority: -1}))
 	srv.noteSendError(ctx, edp.ID, err)
 	var sendErr *SendError
 	if errors.As(err, &sendErr) && !sendErr.Sent {
@@ -201,6 +213,7 @@
 	defer lnk.Close()
 	ans := srv.Wire.ParseAnswer(lnk.Response)
 	srv.noteLeaving(edp, ans)
+	srv.notePause(rqs, edp, ans)
 	if rqs.hasNotRun(ans) {
 		srv.noteAnswer(edp.ID, ans, false)
 		return nil, outcomeNotRun, nil
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -59,6 +59,8 @@
 	Permits *dispatch.Permits
 	// AskPermit asks the daemon that hands out the permits for an endpoint; without it, this daemon does.
 	AskPermit func(ctx context.Context, req *exchange.PermitRequest) (*exchange.PermitReply, error)
+	// IsSteady, if set, reports whether the daemons that answer have been the same for a time.
+	IsSteady func(dur time.Duration) bool
 	// OnLimit, if set, is called when an endpoint has named another limit or none.
 	OnLimit func(lim *exchange.EndpointLimit)
 	// OnLeaving, if set, is called when an endpoint has said in an answer that it leaves; it must not block.
@@ -125,6 +127,10 @@
 	logger       logrus.FieldLogger
 	excluded     map[string]bool
 	sends        int
+	// permitAt is when the request got its permit for a cold endpoint; the zero time if the endpoint was warm.
+	permitAt time.Time
+	// despitePause is true if the last endpoint was chosen though it has asked for a pause.
+	despitePause bool
 	// crashed is true if the request has crashed an endpoint and must not be sent to another one.
 	crashed bool
 	// trial is true if the request runs to show whether a part of its prompt crashes endpoints.
@@ -194,6 +200,8 @@
 	switch {
 	case cat == nil:
 		return notRun(noCatalogRetry, "no configuration is known yet")
+	case snp.Fleet.Evacuations.Unread:
+		return notRun(noCatalogRetry, "the evacuated failure domains are not known yet")
 	case len(snp.Fleet.Endpoints) == 0:
 		// After a start, the configuration and the endpoints are read concurrently, so endpoints should follow shortly.
 		srv.awaitEndpoints(rqs.http.Context())
@@ -289,10 +297,12 @@
 
 // choose selects an endpoint for the request.
 func (srv *Server) choose(now time.Time, rqs *request, wrk dispatch.Work, force bool) dispatch.Choice {
-	return srv.decide(now, &dispatch.Request{
+	cho := srv.decide(now, &dispatch.Request{
 		Service: rqs.service, Work: wrk, Target: rqs.route.Target, Excluded: rqs.excluded, Force: force, Brief: rqs.route.Resumable,
 		Parts: promptParts(rqs.Parts),
 	})
+	rqs.despitePause = cho.DespitePause
+	return cho
 }
 
 func (srv *Server) decide(now time.Time, req *dispatch.Request) dispatch.Choice {
@@ -306,12 +316,13 @@
 }
 
 // outgoing builds the request that is sent to an endpoint.
-func (srv *Server) outgoing(rqs *request, fwd Forward) *Outgoing {
+func (srv *Server) outgoing(rqs *request, edp *catalog.Endpoint, fwd Forward) *Outgoing {
 	fwd.Organisation = rqs.organisation
 	fwd.TimeLeft = rqs.deadline.Sub(srv.Now())
 	return &Outgoing{
 		Method: rqs.http.Method, URL: rqs.http.URL, Host: rqs.http.Host,
 		Header: srv.Wire.RequestHeader(rqs.http.Header, fwd), Body: rqs.body,
+		Check: func() error { return srv.checkSend(rqs, edp, &fwd) },
 	}
 }
 
@@ -387,6 +398,9 @@
 	if !errors.As(err, &sendErr) {
 		return
 	}
+	if isNotSentByChoice(err) {
+		return
+	}
 	if cause := context.Cause(ctx); errors.Is(cause, context.Canceled) || errors.Is(cause, errCondemned) || !sendErr.Sent && ctx.Err() != nil {
 		return
 	}
@@ -405,6 +419,13 @@
 	return true
 }
 
+// noteUnreadable counts the figures of a load report that could not be read.
+func (srv *Server) noteUnreadable(lod *Load) {
+	for _, figure := range lod.Unreadable {
+		srv.Metrics.unreadable.WithLabelValues(figure).Inc()
+	}
+}
+
 // noteFailure records that an endpoint failed in the middle of a stream.
 func (srv *Server) noteFailure(id string) {
 	srv.mutex.Lock()
@@ -418,6 +439,7 @@
 	now := srv.Now()
 	srv.learnFromAnswer(now, id, ans)
 	if ans.Load != nil {
+		srv.noteUnreadable(ans.Load)
 		srv.Balancer.Reported(now, id, ans.Load.Running, ans.Load.Waiting)
 		srv.learnSlowness(now, id, ans.Load)
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -149,7 +149,7 @@
 func (one *run) tryStart(ctx context.Context, trs *tries) bool {
 	cho := one.awaitEngine(ctx)
 	if cho.Endpoint == nil {
-		trs.noEndpoint = cho.String()
+		trs.noteChoice(&cho)
 		return false
 	}
 	if trs.condemned = one.server.refuseCondemned(one.server.Now(), one.request); trs.condemned != nil {
@@ -204,7 +204,7 @@
 	if fwd.Copy != "" {
 		wrk.Prefill = 0
 	}
-	out := srv.outgoing(rqs, fwd)
+	out := srv.outgoing(rqs, edp, fwd)
 	if rqs.route.Repeatable() && rqs.sends+1 < rqs.route.Attempts {
 		out.HeadTimeout = time.Duration(headShare * float64(rqs.route.Target))
 		out.GiveUp = srv.giveUp(rqs, edp.ID, wrk)
@@ -229,6 +229,7 @@
 	rqs.sends++
 	ans := srv.Wire.ParseAnswer(lnk.Response)
 	srv.noteLeaving(edp, ans)
+	srv.notePause(rqs, edp, ans)
 	srv.noteAnswer(edp.ID, ans, !ans.NotRun && lnk.Response.StatusCode < 500)
 	if rqs.hasNotRun(ans) {
 		srv.end(flt)
@@ -390,8 +391,7 @@
 func (one *run) resume(ctx context.Context) bool {
 	from := one.endpoint
 	if cpy := one.awaitMove(ctx); cpy != nil {
-		go one.server.permit(ctx, cpy.endpoint.ID, true)
-		if one.reopen(ctx, from, cpy.endpoint, Forward{Copy: cpy.name}) == outcomeAnswered {
+		if one.server.permitCopy(ctx, one.request, cpy.endpoint) && one.reopen(ctx, from, cpy.endpoint, Forward{Copy: cpy.name}) == outcomeAnswered {
 			return true
 		}
 	}
--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -51,9 +51,11 @@
 // Load is the load that an endpoint reports about itself.
 type Load struct {
 	Running, Waiting, Slots int
-	// Slowness is how long work currently takes on the endpoint's machine, as a multiple of the usual time; 0 if that is
-	// not stated.
+	// Slowness is how long work currently takes on the endpoint's machine, as a multiple of the usual time; 0 if it is not
+	// stated.
 	Slowness float64
+	// Unreadable names the figures of the report that could not be read; they have the value 0.
+	Unreadable []string
 }
 
 // Answer is the information in the headers of an endpoint's answer.
@@ -76,6 +78,10 @@
 	Leaving bool
 	// RateLimit is the number of requests a second that the endpoint takes from all daemons together; nil if it names none.
 	RateLimit *float64
+	// ColdLeft is for how long the endpoint says that it is cold, 0 if it is warm; nil if it says nothing.
+	ColdLeft *time.Duration
+	// Pause is the time for which a refusal asks this daemon to send the endpoint nothing; 0 if it asks for none.
+	Pause time.Duration
 }
 
 // Wire converts between HTTP headers and the gateway's types.
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -30,6 +30,7 @@
 	// Contracts are the words by which the platform asks for further behaviour, separated by commas.
 	Contracts string `yaml:"contracts"`
 	Prefix    Prefix `yaml:"prefix"`
+	Cold      Cold   `yaml:"cold"`
 	Log       Log    `yaml:"log"`
 }
 
@@ -108,6 +109,7 @@
 	if set.Retries.Window <= 0 {
 		lst.Add("retries.window", "value %s is not allowed; more than 0 is expected", time.Duration(set.Retries.Window))
 	}
+	set.Cold.validate(&lst)
 	validateLog(&lst, set.Log)
 	return lst
 }
