--- a/finding/finding.go
+++ b/finding/finding.go
@@ -7,6 +7,17 @@
 	"strings"
 )
 
+// Severity classifies findings of checks that report more than errors.
+type Severity string
+
+// The severities; a finding without one is an error.
+const (
+	SeverityError   Severity = "error"
+	SeverityWarning Severity = "warning"
+	// SeverityChange is for a difference from the version in force.
+	SeverityChange Severity = "change"
+)
+
 // Finding is one problem in a file that an operator wrote.
 type Finding struct {
 	File    string `json:"file"`
@@ -14,14 +25,19 @@
 	Column  int    `json:"column"`
 	Path    string `json:"path"`
 	Message string `json:"message"`
+	// Severity is empty in checks that report errors only.
+	Severity Severity `json:"severity,omitempty"`
 }
 
-// String formats the finding as file:line:column: path: message.
+// String formats the finding as file:line:column: severity: path: message.
 func (fnd Finding) String() string {
 	var sb strings.Builder
 	if fnd.File != "" {
 		fmt.Fprintf(&sb, "%s:%d:%d: ", fnd.File, fnd.Line, fnd.Column)
 	}
+	if fnd.Severity != "" {
+		fmt.Fprintf(&sb, "%s: ", fnd.Severity)
+	}
 	if fnd.Path != "" {
 		fmt.Fprintf(&sb, "%s: ", fnd.Path)
 	}
