--- a/papayacroft/cmd_check.go
+++ b/papayacroft/cmd_check.go
@@ -43,13 +43,17 @@
 }
 
 func newCmdCheck(opt *options) *cobra.Command {
-	fls := &files{}
+	fls, plf := &files{}, &platformFiles{}
 	cmd := &cobra.Command{
 		Use:   "check",
-		Short: "Check an inventory, rules and settings files and print every finding",
-		Long:  "Check an inventory, rules and settings files together. Each finding is printed as file:line:column with the field's path. The exit code is 2 if there are findings.",
-		Args:  cobra.NoArgs,
+		Short: "Check an inventory, rules and settings files, or a platform's configuration, and print every finding",
+		Long: "Check an inventory, rules and settings files together. Each finding is printed as file:line:column with the field's path. The exit code is 2 if there are findings.\n\n" +
+			"With --platform, check a configuration in the platform's form before it is sent, and with --in-force list what it changes. The exit code is then 1 if there are findings, and 2 if a file cannot be read.",
+		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if plf.used() {
+				return opt.checkPlatform(cmd, plf)
+			}
 			_, lst, err := fls.load()
 			if err != nil {
 				return err
@@ -65,6 +69,7 @@
 		},
 	}
 	fls.addFlags(cmd)
+	plf.addFlags(cmd)
 	cmd.Flags().StringSliceVar(&fls.settings, "settings", nil, "daemon settings `files` to check as well")
 	return cmd
 }
