Bound the memory, connections and time that clients take

Cause: net/http parses a head before anything decides on it (60 heads of 3 MB took 317 MB of a process with 112), bodies grew without a bound over all requests, no address limited its connections, callers that do not read held answers, and connections of peers had neither limit nor time-out (300 silent ones kept a gateway from every call).

intake.Gate wraps the listeners of both programs. Conn reads a request's head whole, within the configured limit and time, and hands it out only after its memory is reserved, counted by its text and its lines; it finds the end of each body, so that pipelined bytes wait. ReadBody and ReadAnswer reserve before they read; the gateway's pool of answers is reserved from the same budget. When the budget is short, large requests that stand still or arrive slowly are dropped, the largest and slowest first; small ones and those read whole are not. Each listener has a limit of connections and closes those without a request first. Writes have a time-out. A message of a peer is reserved before it is read and has 10 s. The limits follow the configuration; sizes derive from memoryMB and the descriptors, or the settings under intake. The body of a refused request is not buffered any more.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"papayacroft/blackboard"
 	"papayacroft/endpoint"
 	"papayacroft/entry"
+	"papayacroft/intake"
 	"papayacroft/metrics"
 	"papayacroft/peer"
 	"papayacroft/position"
@@ -27,12 +28,11 @@
 const (
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
-	// maxServerHeaderBytes is the limit of net/http on request headers. Beyond it, net/http responds by itself and
-	// without a refusal body.
+	// maxServerHeaderBytes is the limit of the gate on request headers. Headers that are within this limit but exceed
+	// entry.MaxHeaderBytes get a refusal body from the entry server.
 	maxServerHeaderBytes = 8 * entry.MaxHeaderBytes
-	// callerBufferBytes is the send buffer of a caller's socket; the kernel doubles it. Without it, the kernel buffered
-	// 2 MB of one stream for a caller that did not read. It holds 5 s of a stream at 28 ms and 400 bytes a token.
-	callerBufferBytes = 64 << 10
+	// heapShare is the Go runtime's soft memory limit as a fraction of the memory limit in the settings.
+	heapShare = 0.6
 )
 
 // Daemon is one entry daemon.
@@ -50,6 +50,9 @@
 	metrics     *metrics.Metrics
 	log         *provider.HTTPLog
 	gossip      *gossip
+	// gate limits the connections and the memory of clients, plan the connections of each address.
+	gate *intake.Gate
+	plan intake.Plan
 	// tasks run in the background until the daemon stops.
 	tasks []func(ctx context.Context)
 }
@@ -65,6 +68,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	dmn.buildGate()
 	dmn.build(key)
 	listeners, err := dmn.listen()
 	if err != nil {
@@ -76,12 +80,12 @@
 	grp.Go(func() error { dmn.loop.Run(background); return nil })
 	grp.Go(func() error { dmn.followLog(background); return nil })
 	grp.Go(func() error { dmn.followVMs(background); return nil })
-	grp.Go(func() error { return dmn.peers.Serve(background, listeners.peer) })
+	grp.Go(func() error { return dmn.peers.Serve(background, dmn.gate.ListenPeers(listeners.peer, dmn.plan.Peers)) })
 	for _, tsk := range dmn.tasks {
 		grp.Go(func() error { tsk(background); return nil })
 	}
-	callers := dmn.serve(grp, listeners.caller, dmn.entry.Handler())
-	admin := dmn.serve(grp, listeners.admin, dmn.adminHandler())
+	callers := dmn.serve(grp, dmn.gate.Listen(listeners.caller, dmn.plan.Callers), dmn.entry.Handler())
+	admin := dmn.serve(grp, dmn.gate.Listen(listeners.admin, dmn.plan.Service), dmn.adminHandler())
 	dmn.Logger.WithFields(logrus.Fields{
 		"name": dmn.Settings.Name, "callerAddress": dmn.Settings.CallerAddress, "incarnation": dmn.incarnation,
 	}).Info("entry daemon started")
@@ -102,6 +106,7 @@
 	dmn.tracker = routing.NewTracker()
 	dmn.peers = peer.NewServer()
 	dmn.peers.Logger = dmn.Logger
+	dmn.peers.BeginMessage = dmn.gate.BeginMessage
 	dmn.peerClient = peer.NewClient()
 	endpoints := endpoint.NewClient()
 	endpoints.OnLoad = func(name string, lod endpoint.Load) { dmn.tracker.Report(time.Now(), name, lod) }
@@ -147,14 +152,7 @@
 }
 
 func (dmn *Daemon) serve(grp *errgroup.Group, lis net.Listener, hdl http.Handler) *http.Server {
-	srv := &http.Server{
-		Handler:           hdl,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		// Headers that are within this limit but exceed entry.MaxHeaderBytes get a refusal body from the entry server.
-		MaxHeaderBytes: maxServerHeaderBytes,
-		ConnContext:    limitWriteBuffer,
-	}
+	srv := dmn.gate.HTTPServer(hdl)
 	grp.Go(func() error {
 		if err := srv.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
 			return trace.Wrap(err)
@@ -163,12 +161,3 @@
 	})
 	return srv
 }
-
-// limitWriteBuffer limits the memory in which the kernel buffers a response for a slow caller.
-func limitWriteBuffer(ctx context.Context, con net.Conn) context.Context {
-	if tcp, ok := con.(*net.TCPConn); ok {
-		// An error means that the connection has failed already; its first read returns the error too.
-		_ = tcp.SetWriteBuffer(callerBufferBytes)
-	}
-	return ctx
-}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -10,6 +10,7 @@
 // buildMetrics registers the metrics that are computed from the newest snapshot and the traffic counters when scraped.
 func (dmn *Daemon) buildMetrics() {
 	dmn.metrics = metrics.NewMetrics()
+	dmn.buildGateMetrics()
 	dmn.metrics.Gauge("configuration_version", "Version of the configuration in force; 0 without one.", func() float64 {
 		return float64(dmn.loop.Snapshot().Version)
 	})
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
@@ -95,16 +96,13 @@
 // complete starts a generation and relays its answer.
 func (srv *Server) complete(wri http.ResponseWriter, req *http.Request, cal *call) *Refusal {
 	var body *CompletionRequest
-	var ref *Refusal
-	err := withBodyDeadline(wri, srv.Now(), func() {
-		body, ref = ParseCompletionRequest(http.MaxBytesReader(wri, req.Body, MaxBodyBytes), cal.snapshot.Index)
-	})
+	data, ref := srv.readBody(wri, req)
+	if ref == nil {
+		body, ref = ParseCompletionRequest(bytes.NewReader(data), cal.snapshot.Index)
+	}
 	if ref != nil {
 		return ref
 	}
-	if err != nil {
-		return notRun(routing.CodeBadRequest, "request body could not be read in time: %v", err)
-	}
 	cal.class = body.Class
 	if srv.OnModelRequested != nil {
 		srv.OnModelRequested(cal.snapshot.Index, cal.team, body.Model)
--- a/entry/service.go
+++ b/entry/service.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"papayacroft/endpoint"
+	"papayacroft/intake"
 	"papayacroft/inventory"
 	"papayacroft/routing"
 )
@@ -43,24 +44,15 @@
 		return notRun(routing.CodeUnknownService, "service %q has no operation %s %s", pool, req.Method, path)
 	}
 	cal.class = opr.Class
-	var body []byte
-	var readErr error
-	err := withBodyDeadline(wri, srv.Now(), func() {
-		body, readErr = io.ReadAll(http.MaxBytesReader(wri, req.Body, MaxBodyBytes))
-	})
-	if readErr != nil {
-		ref := bodyRefusal(readErr)
+	body, ref := srv.readBody(wri, req)
+	if ref != nil {
 		ref.unread = ref.Code != routing.CodeTooLarge
 		return ref
 	}
-	if err != nil {
-		return notRun(routing.CodeBadRequest, "request body could not be read in time: %v", err)
-	}
 	svc := &serviceCall{pool: pool, path: path, operation: opr, method: req.Method, query: req.URL.RawQuery, header: req.Header, body: body}
 	ctx, cancel := srv.lifecycle.untilStop(req.Context())
 	defer cancel()
 	var ans *answer
-	var ref *Refusal
 	if opr.Repeatable {
 		ans, ref = srv.callRepeatable(ctx, cal, svc)
 		if ref != nil && isStopping(ctx) {
@@ -123,8 +115,8 @@
 		return nil, err
 	}
 	defer res.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
-	if err != nil || len(data) > maxAnswerBytes {
+	data, err := intake.ReadAnswer(ctx, res.Body, res.ContentLength, maxAnswerBytes)
+	if err != nil {
 		return nil, &endpoint.Error{Endpoint: edp.Name, Reason: endpoint.ReasonBroken, Begun: endpoint.MayHaveBegun, Err: err}
 	}
 	return &answer{status: res.StatusCode, contentType: res.Header.Get("Content-Type"), body: data}, nil
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+
+	"papayacroft/intake"
 )
 
 const (
@@ -66,10 +68,24 @@
 // bufferPool is the memory for long answers of all requests of a server.
 type bufferPool struct {
 	used atomic.Int64
+	// gate, if set, holds the memory for requests and answers together.
+	gate *intake.Gate
 }
 
-// take reserves bytes; it returns false if the pool has not enough left.
+// take reserves bytes; it returns false if the pool has not enough left. Callers that do not read their answers are
+// dropped before.
 func (pol *bufferPool) take(bytes int) bool {
+	if !pol.tryTake(bytes) && !pol.gate.AwaitRelease(func() bool { return pol.tryTake(bytes) }) {
+		return false
+	}
+	if !pol.gate.Reserve(bytes) {
+		pol.used.Add(int64(-bytes))
+		return false
+	}
+	return true
+}
+
+func (pol *bufferPool) tryTake(bytes int) bool {
 	if pol.used.Add(int64(bytes)) > poolBytes {
 		pol.used.Add(int64(-bytes))
 		return false
@@ -78,7 +94,10 @@
 }
 
 func (pol *bufferPool) release(bytes int) {
-	pol.used.Add(int64(-bytes))
+	if bytes > 0 {
+		pol.used.Add(int64(-bytes))
+		pol.gate.Unreserve(bytes)
+	}
 }
 
 // buffer holds the data of one answer; what exceeds freeBytes is taken from the pool until it is released.
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -15,15 +15,13 @@
 
 	"papayacroft/control"
 	"papayacroft/exchange"
+	"papayacroft/intake"
 	"papayacroft/peer"
 	"papayacroft/retry"
 	"papayacroft/settings"
 )
 
 const (
-	headerTimeout = 10 * time.Second
-	// idleTimeout exceeds the time for which callers reuse idle connections.
-	idleTimeout = 2 * time.Minute
 	// unreadyTime is how long after the stop signal the load balancer may still send new connections: it checks readiness
 	// each second and takes a daemon out after two failed checks.
 	unreadyTime = 2300 * time.Millisecond
@@ -50,6 +48,9 @@
 	Tasks []func(ctx context.Context)
 	// Kill, if set, ends a drain when it is cancelled.
 	Kill context.Context
+
+	// gate limits the connections and the memory of clients.
+	gate *intake.Gate
 }
 
 // NewDaemon returns a daemon that needs its exported fields set before Run.
@@ -63,6 +64,7 @@
 	if set.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(set.MemoryMB) * (1 << 20)))
 	}
+	plan := dmn.buildGate()
 	dmn.build()
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -82,12 +84,13 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	grp.Go(func() error { return peers.Serve(background, lis) })
-	callers, err := dmn.serve(grp, set.CallerAddress, dmn.Server)
+	peers.BeginMessage = dmn.gate.BeginMessage
+	grp.Go(func() error { return peers.Serve(background, dmn.gate.ListenPeers(lis, plan.Peers)) })
+	callers, err := dmn.serve(grp, set.CallerAddress, plan.Callers, dmn.Server)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	ready, err := dmn.serve(grp, set.ReadyAddress, http.HandlerFunc(dmn.answerReady))
+	ready, err := dmn.serve(grp, set.ReadyAddress, plan.Service, http.HandlerFunc(dmn.answerReady))
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -96,7 +99,7 @@
 		dmn.Server.Metrics.registerGauges(dmn)
 		mux := http.NewServeMux()
 		mux.Handle("GET /metrics", dmn.Server.Metrics.Handler())
-		if metrics, err = dmn.serve(grp, set.MetricsAddress, mux); err != nil {
+		if metrics, err = dmn.serve(grp, set.MetricsAddress, plan.Service, mux); err != nil {
 			return trace.Wrap(err)
 		}
 	}
@@ -137,6 +140,7 @@
 	dmn.Control.OnLeaving = srv.EndpointLeaves
 	dmn.Control.OnTick = func(snp *control.Snapshot) {
 		dmn.Exchange.ShareEngines(snp)
+		dmn.applyLimits(snp)
 		srv.updateBlame()
 		srv.mutex.Lock()
 		defer srv.mutex.Unlock()
@@ -147,12 +151,14 @@
 	}
 }
 
-func (dmn *Daemon) serve(grp *errgroup.Group, address string, hdl http.Handler) (*http.Server, error) {
+func (dmn *Daemon) serve(grp *errgroup.Group, address string, most int, hdl http.Handler) (*http.Server, error) {
 	lis, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: log.New(dmn.Logger.WriterLevel(logrus.DebugLevel), "", 0)}
+	lis = dmn.gate.Listen(lis, most)
+	srv := dmn.gate.HTTPServer(hdl)
+	srv.ErrorLog = log.New(dmn.Logger.WriterLevel(logrus.DebugLevel), "", 0)
 	grp.Go(func() error {
 		if err := srv.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
 			return trace.Wrap(err)
@@ -162,17 +168,24 @@
 	return srv, nil
 }
 
-// Reload applies the settings that may change while the daemon runs: the retry budget and the log level.
+// Reload applies the settings that may change while the daemon runs: the retry budget, the memory for requests, the pauses
+// that callers may make, and the log level.
 func (dmn *Daemon) Reload(set *settings.Gateway) {
 	dmn.Server.mutex.Lock()
 	dmn.Server.Budget.SetLimits(set.Retries.Ratio, set.Retries.Extra, time.Duration(set.Retries.Window))
+	gate := dmn.gate
 	dmn.Server.mutex.Unlock()
+	if gate != nil {
+		gate.SetMemory(planOf(set).Memory)
+		gate.SetLimits(stallsOf(set))
+	}
 	if level, err := logrus.ParseLevel(set.Log.Level); err == nil {
 		dmn.Logger.SetLevel(level)
 	}
 	old := dmn.Settings
 	restart := set.CallerAddress != old.CallerAddress || set.ReadyAddress != old.ReadyAddress ||
-		set.PeerAddress != old.PeerAddress || set.StoreAddress != old.StoreAddress
+		set.PeerAddress != old.PeerAddress || set.StoreAddress != old.StoreAddress ||
+		set.Intake.Connections != old.Intake.Connections || set.Intake.PeerConnections != old.Intake.PeerConnections
 	dmn.Logger.WithFields(logrus.Fields{"retries": set.Retries, "level": set.Log.Level, "needsRestart": restart}).Info("settings reloaded")
 }
 
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -17,6 +16,7 @@
 	"papayacroft/control"
 	"papayacroft/dispatch"
 	"papayacroft/exchange"
+	"papayacroft/intake"
 	"papayacroft/retry"
 )
 
@@ -274,14 +274,10 @@
 	}
 	ctl := http.NewResponseController(wri)
 	_ = ctl.SetReadDeadline(now.Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(wri, rqs.http.Body, limit))
+	body, err := intake.ReadBody(rqs.http, limit)
 	_ = ctl.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return invalid(http.StatusRequestEntityTooLarge, "the body is larger than %d bytes", limit)
-	case err != nil:
-		return invalid(http.StatusBadRequest, "the body could not be read: %v", err)
+	if err != nil {
+		return refuseBody(wri, err, limit)
 	}
 	rqs.body = body
 	return nil
--- /dev/null
+++ b/intake/budget.go
@@ -0,0 +1,149 @@
+package intake
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// smallBytes is the size up to which a request is never dropped in favour of others, and may use the whole budget.
+	smallBytes = 64 << 10
+	// keptShare is the fraction of the budget that only small requests use, as a divisor.
+	keptShare = 8
+	// stalledTime is the time without progress after which a large request may be dropped.
+	stalledTime = 500 * time.Millisecond
+	// slowBytes is the number of bytes a second below which a large request counts as slow; a body of 4 MiB at this rate
+	// takes longer than the gateway's limit of 10 s.
+	slowBytes = 256 << 10
+)
+
+// Verdict is the answer to a request for memory.
+type Verdict int
+
+// The verdicts.
+const (
+	// Granted means that the memory is reserved.
+	Granted Verdict = iota
+	// Wait means that the memory may become free soon.
+	Wait
+	// Refused means that the holder has been dropped and gets no more memory.
+	Refused
+)
+
+// Holder is what one request holds of a Budget.
+type Holder struct {
+	// Drop ends the request; it must not block. A holder without it is never dropped.
+	Drop func()
+
+	// began is when the request began to hold memory, and progress when its last byte arrived, in Unix nanoseconds.
+	began    time.Time
+	progress atomic.Int64
+	held     int64
+	// kept is true once the request was read whole: it is not dropped any more.
+	kept    bool
+	dropped bool
+}
+
+// Held returns the reserved bytes.
+func (hld *Holder) Held() int64 {
+	return hld.held
+}
+
+// Touch records that bytes of the request arrived. It may be called at any time.
+func (hld *Holder) Touch(now time.Time) {
+	hld.progress.Store(now.UnixNano())
+}
+
+// stalled returns the time without progress.
+func (hld *Holder) stalled(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, max(hld.progress.Load(), hld.began.UnixNano())))
+}
+
+// isSlow reports whether the request stands still or arrives too slowly.
+func (hld *Holder) isSlow(now time.Time) bool {
+	if hld.stalled(now) >= stalledTime {
+		return true
+	}
+	elapsed := now.Sub(hld.began)
+	return elapsed >= 2*stalledTime && float64(hld.held) < slowBytes*elapsed.Seconds()
+}
+
+// Budget is the memory that all requests of a process may hold. Its methods are not safe for concurrent use.
+type Budget struct {
+	Limit int64
+
+	used int64
+	// large are the holders of more than smallBytes.
+	large map[*Holder]bool
+}
+
+// NewBudget returns a budget with a limit in bytes.
+func NewBudget(limit int64) *Budget {
+	return &Budget{Limit: limit, large: map[*Holder]bool{}}
+}
+
+// Used returns the reserved bytes.
+func (bud *Budget) Used() int64 {
+	return bud.used
+}
+
+// Take reserves bytes. If they are not free, it returns Wait and, if a request is to be dropped for them, that request:
+// of the slow ones, the one whose size times its time without progress is the largest.
+func (bud *Budget) Take(now time.Time, hld *Holder, bytes int64) (Verdict, *Holder) {
+	if hld.dropped {
+		return Refused, nil
+	}
+	if hld.held == 0 {
+		hld.began = now
+	}
+	limit := bud.Limit
+	if hld.held+bytes > smallBytes {
+		limit -= limit / keptShare
+	}
+	if bud.used+bytes <= limit {
+		bud.change(hld, bytes)
+		return Granted, nil
+	}
+	var leaving int64
+	var worst *Holder
+	var most float64
+	for one := range bud.large {
+		if one.dropped {
+			leaving += one.held
+		} else if cost := float64(one.held) * max(one.stalled(now), time.Millisecond).Seconds(); !one.kept && one != hld && one.isSlow(now) && cost > most {
+			worst, most = one, cost
+		}
+	}
+	if bud.used+bytes-leaving <= limit || worst == nil {
+		return Wait, nil
+	}
+	worst.dropped = true
+	return Wait, worst
+}
+
+// Keep marks a request as read whole, so that it is not dropped any more. It returns false if it was dropped before.
+func (bud *Budget) Keep(hld *Holder) bool {
+	hld.kept = !hld.dropped
+	return hld.kept
+}
+
+// Release returns bytes to the budget.
+func (bud *Budget) Release(hld *Holder, bytes int64) {
+	bud.change(hld, -min(bytes, hld.held))
+}
+
+// Reset returns all that a holder has, so that it can be used for another request.
+func (bud *Budget) Reset(hld *Holder) {
+	bud.change(hld, -hld.held)
+	hld.kept = false
+}
+
+func (bud *Budget) change(hld *Holder, bytes int64) {
+	bud.used += bytes
+	hld.held += bytes
+	if hld.Drop != nil && hld.held > smallBytes {
+		bud.large[hld] = true
+	} else {
+		delete(bud.large, hld)
+	}
+}
--- /dev/null
+++ b/intake/listener.go
@@ -0,0 +1,163 @@
+package intake
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// acceptPause is the pause after a connection could not be accepted for lack of descriptors.
+	acceptPause = 50 * time.Millisecond
+	// socketBytes is the send and the receive buffer of a client's socket; the kernel doubles it. Without it, the kernel
+	// buffers up to 6 MB of a body and 4 MB of an answer.
+	socketBytes = 64 << 10
+	// limitConnections is the name of the limit of connections.
+	limitConnections = "connections"
+)
+
+// errConnections is the cause of connections that were closed because too many are open.
+var errConnections = errors.New("too many connections are open")
+
+// pool is the connections of one listener.
+type pool struct {
+	gate  *Gate
+	most  int
+	mutex sync.Mutex
+	conns map[*Conn]bool
+}
+
+// add adds a connection and returns the one that must be closed for it: of those without a request, first those that
+// never had one, the one that has waited longest. It returns the new one if all have requests.
+func (pol *pool) add(con *Conn) *Conn {
+	pol.mutex.Lock()
+	defer pol.mutex.Unlock()
+	if len(pol.conns) < pol.most {
+		pol.conns[con] = true
+		return nil
+	}
+	var victim *Conn
+	for one := range pol.conns {
+		if one.waitingSince.Load() == 0 {
+			continue
+		}
+		if victim == nil || one.served.Load() != victim.served.Load() && victim.served.Load() ||
+			one.served.Load() == victim.served.Load() && one.waitingSince.Load() < victim.waitingSince.Load() {
+			victim = one
+		}
+	}
+	if victim == nil {
+		return con
+	}
+	delete(pol.conns, victim)
+	pol.conns[con] = true
+	return victim
+}
+
+func (pol *pool) remove(con *Conn) {
+	pol.mutex.Lock()
+	delete(pol.conns, con)
+	pol.mutex.Unlock()
+	pol.gate.mutex.Lock()
+	delete(pol.gate.conns, con)
+	pol.gate.mutex.Unlock()
+}
+
+// listener accepts connections up to a limit.
+type listener struct {
+	net.Listener
+	pool *pool
+	raw  bool
+}
+
+// Listen limits the connections of a listener of HTTP.
+func (gat *Gate) Listen(lis net.Listener, most int) net.Listener {
+	return &listener{Listener: lis, pool: &pool{gate: gat, most: most, conns: map[*Conn]bool{}}}
+}
+
+// ListenPeers limits the connections of a listener of peers, whose messages are admitted by BeginMessage.
+func (gat *Gate) ListenPeers(lis net.Listener, most int) net.Listener {
+	return &listener{Listener: lis, pool: &pool{gate: gat, most: most, conns: map[*Conn]bool{}}, raw: true}
+}
+
+// Accept returns the next connection. If too many are open, it closes one that has no request.
+func (lis *listener) Accept() (net.Conn, error) {
+	gat := lis.pool.gate
+	for {
+		raw, err := lis.Listener.Accept()
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED) {
+			time.Sleep(acceptPause)
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		con := newConn(gat, lis.pool, lis.raw, raw)
+		gat.mutex.Lock()
+		gat.conns[con] = true
+		gat.mutex.Unlock()
+		victim := lis.pool.add(con)
+		if victim != nil {
+			gat.noteLimit(limitConnections, errConnections, victim)
+			_ = victim.Close()
+		}
+		if victim == con {
+			continue
+		}
+		if tcp, ok := raw.(*net.TCPConn); ok && !lis.raw {
+			// An error means that the connection has failed already; its first read returns the error too.
+			_ = tcp.SetReadBuffer(socketBytes)
+			_ = tcp.SetWriteBuffer(socketBytes)
+		}
+		return con, nil
+	}
+}
+
+// Handler releases what each request has reserved when it ends.
+func (gat *Gate) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		if con := connOf(req.Context()); con != nil {
+			defer con.endRequest()
+		}
+		next.ServeHTTP(wri, req)
+	})
+}
+
+// HTTPServer returns a server for connections of the gate.
+func (gat *Gate) HTTPServer(hdl http.Handler) *http.Server {
+	return &http.Server{
+		Handler: gat.Handler(hdl), ConnContext: ConnContext, MaxHeaderBytes: 2 * maxHeadBytes,
+		// Conn has time-outs of its own, which follow the configuration.
+		ReadHeaderTimeout: time.Hour, IdleTimeout: time.Hour,
+	}
+}
+
+// messageTime limits the time for a message of a peer once it has begun.
+const messageTime = 10 * time.Second
+
+// messageCopies is the number of times that a message is held while it is decoded: the decoder's buffer, which doubles,
+// and the parameters.
+const messageCopies = 3
+
+// BeginMessage reserves the memory of a peer's message before it is read, and limits the time for it. The returned
+// function ends both.
+func (gat *Gate) BeginMessage(con net.Conn, bytes int) (func(), error) {
+	one, ok := con.(*Conn)
+	if !ok {
+		return func() {}, nil
+	}
+	one.waitingSince.Store(0)
+	one.holder.Touch(gat.Now())
+	if err := gat.take(&one.holder, int64(messageCopies*bytes)); err != nil {
+		gat.note(errMessage, con)
+		return nil, errMessage
+	}
+	_ = one.Conn.SetReadDeadline(gat.Now().Add(messageTime))
+	return func() {
+		_ = one.Conn.SetReadDeadline(time.Time{})
+		one.endRequest()
+	}, nil
+}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -66,6 +66,13 @@
 	met.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, read))
 }
 
+// CounterVec registers a counter with labels.
+func (met *Metrics) CounterVec(name, help string, labels ...string) *prometheus.CounterVec {
+	vec := newCounterVec(name, help, labels...)
+	met.Registry.MustRegister(vec)
+	return vec
+}
+
 // Handler serves the metrics.
 func (met *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(met.Registry, promhttp.HandlerOpts{})
--- a/papayacroftd/cmd_gateway.go
+++ b/papayacroftd/cmd_gateway.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"papayacroft/gateway"
+	"papayacroft/intake"
 	"papayacroft/logline"
 	"papayacroft/platform"
 	"papayacroft/settings"
@@ -29,11 +30,8 @@
 }
 
 func runGateway(file string) error {
-	set, lst, err := settings.LoadGateway(file)
+	set, err := loadGateway(file)
 	if err != nil {
-		return trace.Wrap(err)
-	}
-	if err := lst.Err(); err != nil {
 		return err
 	}
 	logger, err := newLogger(set.Log)
@@ -63,12 +61,18 @@
 	return trace.Wrap(dmn.Run(drain))
 }
 
-// reload applies the settings file again; if it can't be read or has findings, the present settings remain in use.
-func reload(file string, dmn *gateway.Daemon) {
+// loadGateway reads the settings and checks them beside the limits of this process.
+func loadGateway(file string) (*settings.Gateway, error) {
 	set, lst, err := settings.LoadGateway(file)
-	if err == nil {
-		err = lst.Err()
+	if err != nil {
+		return nil, trace.Wrap(err)
 	}
+	return set, append(lst, set.Intake.CheckDescriptors(intake.Descriptors())...).Err()
+}
+
+// reload applies the settings file again; if it can't be read or has findings, the present settings remain in use.
+func reload(file string, dmn *gateway.Daemon) {
+	set, err := loadGateway(file)
 	if err != nil {
 		dmn.Logger.WithError(err).Warn("settings not reloaded")
 		return
--- a/papayacroftd/main.go
+++ b/papayacroftd/main.go
@@ -13,6 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"papayacroft/daemon"
+	"papayacroft/intake"
 	"papayacroft/settings"
 )
 
@@ -47,7 +48,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if err := lst.Err(); err != nil {
+	if err := append(lst, set.Intake.CheckDescriptors(intake.Descriptors())...).Err(); err != nil {
 		return err
 	}
 	logger, err := newLogger(set.Log)
--- a/peer/server.go
+++ b/peer/server.go
@@ -22,6 +22,9 @@
 	Handlers map[string]Handler
 	Logger   logrus.FieldLogger
 	Traffic  *Traffic
+	// BeginMessage, if set, admits a message of so many bytes before it is read; the returned function is called when it
+	// has been read.
+	BeginMessage func(con net.Conn, bytes int) (func(), error)
 }
 
 // NewServer returns a server without methods.
@@ -50,7 +53,7 @@
 func (srv *Server) serveConn(ctx context.Context, con net.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	rpc := jsonrpc2.NewConn(ctx, newStream(con, srv.Traffic), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(srv.handle)), discardLog)
+	rpc := jsonrpc2.NewConn(ctx, srv.newStream(con), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(srv.handle)), discardLog)
 	select {
 	case <-rpc.DisconnectNotify():
 	case <-ctx.Done():
@@ -58,6 +61,14 @@
 	}
 }
 
+func (srv *Server) newStream(con net.Conn) jsonrpc2.ObjectStream {
+	if srv.BeginMessage == nil {
+		return newStream(con, srv.Traffic)
+	}
+	codec := boundedCodec{begin: func(bytes int) (func(), error) { return srv.BeginMessage(con, bytes) }}
+	return jsonrpc2.NewBufferedStream(&countedConn{Conn: con, traffic: srv.Traffic}, codec)
+}
+
 func (srv *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
 	hdl, ok := srv.Handlers[req.Method]
 	if !ok {
--- a/peer/traffic.go
+++ b/peer/traffic.go
@@ -49,10 +49,12 @@
 // boundedCodec is jsonrpc2.VarintObjectCodec with a limit of the size of a message.
 type boundedCodec struct {
 	jsonrpc2.VarintObjectCodec
+	// begin, if set, admits a message before it is read, unless it has arrived already; the returned function ends it.
+	begin func(bytes int) (func(), error)
 }
 
 // ReadObject reads one message; it fails for one that is longer than maxMessageBytes.
-func (boundedCodec) ReadObject(stream *bufio.Reader, object any) error {
+func (cdc boundedCodec) ReadObject(stream *bufio.Reader, object any) error {
 	size, err := binary.ReadUvarint(stream)
 	if err != nil {
 		return err
@@ -60,6 +62,13 @@
 	if size > maxMessageBytes {
 		return trace.LimitExceeded("message of %d bytes; at most %d are allowed", size, maxMessageBytes)
 	}
+	if cdc.begin != nil && stream.Buffered() < int(size) {
+		done, err := cdc.begin(int(size))
+		if err != nil {
+			return err
+		}
+		defer done()
+	}
 	return json.NewDecoder(io.LimitReader(stream, int64(size))).Decode(object)
 }
 
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -26,6 +26,7 @@
 	DrainNotice document.Duration `yaml:"drainNotice"`
 	// MemoryMB is the memory limit of the process; 0 means no limit.
 	MemoryMB int         `yaml:"memoryMB"`
+	Intake   Intake      `yaml:"intake"`
 	Retries  RetryBudget `yaml:"retries"`
 	Log      Log         `yaml:"log"`
 }
@@ -60,6 +61,7 @@
 func ParseGateway(file string, data []byte) (*Gateway, finding.List) {
 	set := &Gateway{
 		DrainNotice: document.Duration(defaultDrainNotice),
+		Intake:      newIntake(defaultBodyStall, defaultReaderStall),
 		Retries:     RetryBudget{Ratio: defaultRetryRatio, Extra: defaultRetryExtra, Window: document.Duration(defaultRetryWindow)},
 		Log:         Log{Level: "info", Format: "json"},
 	}
@@ -93,6 +95,7 @@
 	if set.MemoryMB < 0 {
 		lst.Add("memoryMB", "value %d is not allowed; 0 or more is expected", set.MemoryMB)
 	}
+	set.Intake.validate(&lst, set.MemoryMB)
 	if set.Retries.Ratio < 0 || set.Retries.Extra < 0 {
 		lst.Add("retries", "ratio %g and extra %g are not allowed; 0 or more is expected", set.Retries.Ratio, set.Retries.Extra)
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -25,7 +25,10 @@
 	Platform        Platform          `yaml:"platform" required:"true"`
 	PositionKeyFile string            `yaml:"positionKeyFile" required:"true"`
 	DrainNotice     document.Duration `yaml:"drainNotice"`
-	Log             Log               `yaml:"log"`
+	// MemoryMB is the memory limit of the process; 0 means no limit.
+	MemoryMB int    `yaml:"memoryMB"`
+	Intake   Intake `yaml:"intake"`
+	Log      Log    `yaml:"log"`
 }
 
 // Platform holds the settings of the platform's services, with the base URL of each.
@@ -80,6 +83,7 @@
 	set := &Settings{
 		DrainNotice: document.Duration(defaultDrainNotice),
 		Platform:    Platform{LogRetention: document.Duration(defaultLogRetention)},
+		Intake:      newIntake(entryBodyStall, entryReaderStall),
 		Log:         Log{Level: "info", Format: "text"},
 	}
 	doc, lst := document.Decode(file, data, set)
@@ -125,6 +129,10 @@
 	if set.DrainNotice <= 0 || time.Duration(set.DrainNotice) > maxDrainNotice {
 		lst.Add("drainNotice", "value %s is not allowed; more than 0 and at most %s is expected", time.Duration(set.DrainNotice), maxDrainNotice)
 	}
+	if set.MemoryMB < 0 {
+		lst.Add("memoryMB", "value %d is not allowed; 0 or more is expected", set.MemoryMB)
+	}
+	set.Intake.validate(&lst, set.MemoryMB)
 	validateLog(&lst, set.Log)
 	return lst
 }
