Test partial heads and streams without a reader, and count peers' small messages as use

Cause: a peer whose messages arrive in one piece counted as a connection that never sent one, and would be closed before a flood of silent connections. Two crowds were missing: heads that stop before their end on many connections, and streams whose deadline is far and whose callers do not read.

--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -47,6 +47,8 @@
 	Reads bool
 	// MemoryMB bounds the resident memory of the process at any time.
 	MemoryMB int `yaml:"memoryMB"`
+	// Freed is true if no endpoint may go on with a stream, though the clients stay.
+	Freed bool
 	// Limit is the process's limit of descriptors; Descriptors bounds those that are open at any time. 0 means none.
 	Limit, Descriptors int
 }
@@ -87,6 +89,9 @@
 	sending.Wait()
 	time.Sleep(settleTime)
 	dmn.awaitAnswer(t)
+	if cse.Freed {
+		dmn.awaitFreed(t)
+	}
 	close(leave)
 	clients.Wait()
 	descriptors := <-sampled
@@ -153,6 +158,17 @@
 	return nil
 }
 
+// awaitFreed waits until no endpoint sends a stream.
+func (dmn *process) awaitFreed(t *testing.T) {
+	t.Helper()
+	for until := time.Now().Add(answerTime); dmn.streams.Load() > 0; time.Sleep(sampleTime) {
+		if time.Now().After(until) {
+			t.Errorf("got %d streams at endpoints, want none whose caller does not read", dmn.streams.Load())
+			return
+		}
+	}
+}
+
 // latin1 returns a byte for each character.
 func latin1(text string) []byte {
 	data := make([]byte, 0, len(text))
--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -75,6 +76,8 @@
 	ended     chan struct{}
 	log       string
 	addresses map[string]string
+	// streams is the number of streams that the endpoint is sending.
+	streams atomic.Int64
 	// ordinary returns an ordinary request.
 	ordinary func() (*http.Request, error)
 }
@@ -98,7 +101,8 @@
 func startGateway(t *testing.T, programs string, limit int) *process {
 	store := standin.NewKeyedStore()
 	service := serve(t, store)
-	address := serve(t, http.HandlerFunc(answerSite))
+	dmn := &process{}
+	address := serve(t, http.HandlerFunc(dmn.answerSite))
 	store.Put("keyed.op", "config", siteConfiguration(t))
 	for number, service := range []string{"desk", "pool"} {
 		entry, err := json.Marshal(map[string]any{
@@ -110,7 +114,7 @@
 		store.Put("keyed.servers", "e"+strconv.Itoa(number), entry)
 	}
 	adr := freeAddresses(t, 4)
-	dmn := &process{addresses: map[string]string{"caller": adr[0], "ready": adr[1], "peer": adr[2], "metrics": adr[3]}}
+	dmn.addresses = map[string]string{"caller": adr[0], "ready": adr[1], "peer": adr[2], "metrics": adr[3]}
 	dmn.ordinary = func() (*http.Request, error) {
 		req, err := http.NewRequest(http.MethodPost, "http://"+adr[0]+"/again/x", strings.NewReader("ordinary"))
 		if err == nil {
@@ -128,6 +132,7 @@
 	for _, rou := range []map[string]any{
 		{"name": "again", "kind": "idempotent", "service": "desk", "maxAttempts": 2, "timeoutMs": 5000, "targetLatencyMs": 500},
 		{"name": "long", "kind": "stream", "service": "pool", "maxAttempts": 1, "timeoutMs": 30000, "targetLatencyMs": 3000},
+		{"name": "lasting", "kind": "stream", "service": "pool", "maxAttempts": 1, "timeoutMs": 600000, "targetLatencyMs": 3000},
 	} {
 		rou["host"], rou["pathPrefix"], rou["public"] = "site.example", "/"+rou["name"].(string)+"/", true
 		routes = append(routes, rou)
@@ -146,12 +151,14 @@
 }
 
 // answerSite answers as an endpoint of the gateway does: a large answer, a stream of large events, or a short answer.
-func answerSite(wri http.ResponseWriter, req *http.Request) {
+func (dmn *process) answerSite(wri http.ResponseWriter, req *http.Request) {
 	hdr := wri.Header()
 	hdr.Set("Attempt-Id", req.Header.Get("Attempt-Id"))
 	hdr.Set("Response-Signature", "signed."+req.Header.Get("Expect-Instance"))
 	switch {
 	case strings.Contains(req.URL.Path, "/events"):
+		dmn.streams.Add(1)
+		defer dmn.streams.Add(-1)
 		hdr.Set("Content-Type", "text/event-stream")
 		for number := range events {
 			if _, err := fmt.Fprintf(wri, "id: %d\ndata: %s\n\n", number+1, bytes.Repeat([]byte("x"), eventBytes)); err != nil {
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -142,13 +142,18 @@
 // and the parameters.
 const messageCopies = 3
 
-// BeginMessage reserves the memory of a peer's message before it is read, and limits the time for it. The returned
-// function ends both.
+// BeginMessage reserves the memory of a peer's message of which so many bytes have not arrived yet, and limits the time for
+// them. The returned function ends both. Messages that have arrived only show that the connection is in use.
 func (gat *Gate) BeginMessage(con net.Conn, bytes int) (func(), error) {
 	one, ok := con.(*Conn)
 	if !ok {
 		return func() {}, nil
 	}
+	if bytes == 0 {
+		one.served.Store(true)
+		one.waitingSince.Store(gat.Now().UnixNano())
+		return func() {}, nil
+	}
 	one.waitingSince.Store(0)
 	one.holder.Touch(gat.Now())
 	if err := gat.take(&one.holder, int64(messageCopies*bytes)); err != nil {
--- a/peer/server.go
+++ b/peer/server.go
@@ -22,8 +22,8 @@
 	Handlers map[string]Handler
 	Logger   logrus.FieldLogger
 	Traffic  *Traffic
-	// BeginMessage, if set, admits a message of so many bytes before it is read; the returned function is called when it
-	// has been read.
+	// BeginMessage, if set, admits a message of which so many bytes have not arrived yet; the returned function is called
+	// when it has been read.
 	BeginMessage func(con net.Conn, bytes int) (func(), error)
 }
 
--- a/peer/traffic.go
+++ b/peer/traffic.go
@@ -49,7 +49,7 @@
 // boundedCodec is jsonrpc2.VarintObjectCodec with a limit of the size of a message.
 type boundedCodec struct {
 	jsonrpc2.VarintObjectCodec
-	// begin, if set, admits a message before it is read, unless it has arrived already; the returned function ends it.
+	// begin, if set, admits a message of which so many bytes have not arrived yet; the returned function ends it.
 	begin func(bytes int) (func(), error)
 }
 
@@ -62,8 +62,8 @@
 	if size > maxMessageBytes {
 		return trace.LimitExceeded("message of %d bytes; at most %d are allowed", size, maxMessageBytes)
 	}
-	if cdc.begin != nil && stream.Buffered() < int(size) {
-		done, err := cdc.begin(int(size))
+	if cdc.begin != nil {
+		done, err := cdc.begin(max(0, int(size)-stream.Buffered()))
 		if err != nil {
 			return err
 		}
