--- a/intake/gate_test.go
+++ b/intake/gate_test.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -48,27 +49,9 @@
 	clt := &http.Client{Transport: &http.Transport{}}
 	defer clt.CloseIdleConnections()
 	for _, size := range []int{0, 1, 100, 16 << 10, 1 << 20, 4 << 20} {
-		for _, isChunked := range []bool{false, true} {
-			body := bytes.Repeat([]byte("x"), size)
-			var reader io.Reader = bytes.NewReader(body)
-			if isChunked {
-				reader = io.MultiReader(reader)
-			}
-			req, err := http.NewRequest(http.MethodPost, "http://"+address+"/", reader)
-			if err != nil {
-				t.Fatal(err)
-			}
-			req.Header.Set("Pad", strings.Repeat("x", 16000))
-			res, err := clt.Do(req)
-			if err != nil {
-				t.Fatalf("body of %d bytes, chunked %t: got %v, want an answer", size, isChunked, err)
-			}
-			got, err := io.ReadAll(res.Body)
-			_ = res.Body.Close()
-			if err != nil || !bytes.Equal(got, body) {
-				t.Errorf("body of %d bytes, chunked %t: got status %d and %d bytes, error %v; want the same body", size, isChunked, res.StatusCode, len(got), err)
-			}
-		}
+		body := bytes.Repeat([]byte("x"), size)
+		checkEcho(t, clt, address, body, bytes.NewReader(body))
+		checkEcho(t, clt, address, body, io.MultiReader(bytes.NewReader(body)))
 	}
 	con, err := net.Dial("tcp", address)
 	if err != nil {
@@ -89,6 +72,24 @@
 	awaitUnused(t, gat)
 }
 
+// checkEcho sends a body, in chunks if the reader's length is not known, and checks that it comes back.
+func checkEcho(t *testing.T, clt *http.Client, address string, body []byte, reader io.Reader) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/", reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Pad", strings.Repeat("x", 16000))
+	res, err := clt.Do(req)
+	if err != nil {
+		t.Fatalf("body of %d bytes, length %d: got %v, want an answer", len(body), req.ContentLength, err)
+	}
+	defer res.Body.Close()
+	if got, err := io.ReadAll(res.Body); err != nil || !bytes.Equal(got, body) {
+		t.Errorf("body of %d bytes, length %d: got status %d and %d bytes, error %v; want the same body", len(body), req.ContentLength, res.StatusCode, len(got), err)
+	}
+}
+
 // awaitUnused waits until all connections are closed, and checks that they have returned their memory.
 func awaitUnused(t *testing.T, gat *Gate) {
 	t.Helper()
@@ -183,44 +184,43 @@
 	}
 }
 
-// BenchmarkRequest measures a usual request on a kept connection, with and without a gate; the difference is what the
-// gate costs.
+// BenchmarkRequest measures requests on a kept connection, with and without a gate; the difference is what the gate costs.
 func BenchmarkRequest(b *testing.B) {
-	for _, hasGate := range []bool{false, true} {
-		b.Run(fmt.Sprintf("gate=%t", hasGate), func(b *testing.B) {
-			var gat *Gate
-			if hasGate {
-				gat = NewGate(16 << 20)
-			}
-			address := startServer(b, gat, 10, http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
-				if hasGate {
-					echo(wri, req)
-					return
-				}
-				body, _ := io.ReadAll(http.MaxBytesReader(wri, req.Body, 4<<20))
-				_, _ = wri.Write(body)
-			}))
-			con, err := net.Dial("tcp", address)
-			if err != nil {
-				b.Fatal(err)
-			}
-			defer con.Close()
-			request := fmt.Appendf(nil, "POST /long/x HTTP/1.1\r\nHost: site.example\r\nAuthorization: Bearer key\r\nAttempt-Id: 0123456789\r\nDeadline-Ms: 3000\r\nPrompt-Prefix: a:79,b:3000\r\nContent-Length: %d\r\n\r\n%s", 10<<10, bytes.Repeat([]byte("x"), 10<<10))
-			answer := make([]byte, 64<<10)
-			b.ReportAllocs()
-			for b.Loop() {
-				if _, err := con.Write(request); err != nil {
-					b.Fatal(err)
-				}
-				for got := 0; got < 10<<10; {
-					count, err := con.Read(answer)
-					if err != nil {
-						b.Fatal(err)
-					}
-					got += count
-				}
-			}
+	ungated := func(wri http.ResponseWriter, req *http.Request) {
+		body, _ := io.ReadAll(http.MaxBytesReader(wri, req.Body, 4<<20))
+		_, _ = wri.Write(body)
+	}
+	for _, size := range []int{100, 10 << 10, 1 << 20} {
+		b.Run(fmt.Sprintf("bytes=%d/gate=false", size), func(b *testing.B) {
+			benchmarkRequests(b, startServer(b, nil, 0, http.HandlerFunc(ungated)), size)
 		})
+		b.Run(fmt.Sprintf("bytes=%d/gate=true", size), func(b *testing.B) {
+			benchmarkRequests(b, startServer(b, NewGate(16<<20), 10, http.HandlerFunc(echo)), size)
+		})
+	}
+}
+
+func benchmarkRequests(b *testing.B, address string, size int) {
+	con, err := net.Dial("tcp", address)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer con.Close()
+	request := fmt.Appendf(nil, "POST /long/x HTTP/1.1\r\nHost: site.example\r\nAuthorization: Bearer key\r\nAttempt-Id: 0123456789\r\nDeadline-Ms: 3000\r\nPrompt-Prefix: a:79,b:3000\r\nContent-Length: %d\r\n\r\n%s",
+		size, bytes.Repeat([]byte("x"), size))
+	answer := bufio.NewReaderSize(con, 64<<10)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := con.Write(request); err != nil {
+			b.Fatal(err)
+		}
+		res, err := http.ReadResponse(answer, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, res.Body); err != nil {
+			b.Fatal(err)
+		}
 	}
 }
 
--- a/intake/plan.go
+++ b/intake/plan.go
@@ -13,10 +13,10 @@
 	// unlimitedBudget is the budget of a process whose memory is not limited.
 	unlimitedBudget = 64 << 20
 	// callerShare is the part of a process's descriptors for callers: each call needs another one for its endpoint. The
-	// peers get peerShare, each other address serviceShare; the rest is for connections to peers, endpoints and the store.
-	callerShare  = 0.4
-	peerShare    = 0.125
-	serviceShare = 0.05
+	// peers get peerShare, each other address serviceShare; 0.13 are left for connections to peers and the store.
+	callerShare  = 0.36
+	peerShare    = 0.1
+	serviceShare = 0.025
 	// maxService is enough for the checks and the scrapes of a machine.
 	maxService = 64
 )
--- a/intake/reads_test.go
+++ b/intake/reads_test.go
@@ -118,22 +118,25 @@
 	for _, cse := range cases {
 		t.Run(cse.Name, func(t *testing.T) {
 			t.Log(cse.Guards)
-			data := []byte(strings.ReplaceAll(cse.Send, "PAD", strings.Repeat(cse.Pad, cse.Count)))
 			for _, size := range []int{1, 2, 7, 100, 4096, 100000} {
-				for _, ahead := range []bool{false, true} {
-					got, _, con, answer := checkRequests(t, data, size, ahead)
-					if len(got) != cse.Requests {
-						t.Errorf("pieces of %d, ahead %t: got %d requests (%v), want %d", size, ahead, len(got), con.err, cse.Requests)
-					}
-					if !strings.HasPrefix(answer, cse.Status) || cse.Status == "" && answer != "" {
-						t.Errorf("pieces of %d, ahead %t: got answer %q, want %q", size, ahead, answer, cse.Status)
-					}
-				}
+				cse.check(t, size, false)
+				cse.check(t, size, true)
 			}
 		})
 	}
 }
 
+func (cse *readCase) check(t *testing.T, size int, ahead bool) {
+	data := []byte(strings.ReplaceAll(cse.Send, "PAD", strings.Repeat(cse.Pad, cse.Count)))
+	got, _, con, answer := checkRequests(t, data, size, ahead)
+	if len(got) != cse.Requests {
+		t.Errorf("pieces of %d, ahead %t: got %d requests (%v), want %d", size, ahead, len(got), con.err, cse.Requests)
+	}
+	if !strings.HasPrefix(answer, cse.Status) || cse.Status == "" && answer != "" {
+		t.Errorf("pieces of %d, ahead %t: got answer %q, want %q", size, ahead, answer, cse.Status)
+	}
+}
+
 // FuzzReads guards against bytes that make a connection hand out other requests than net/http reads from them, crash, or
 // keep memory.
 func FuzzReads(f *testing.F) {
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -39,6 +39,7 @@
 storeAddress: 10.0.0.2:5
 drainNotice: 8s
 memoryMB: 134
+intake: {bodyStall: 5s, readerStall: 5s}
 retries: {ratio: 0.2, extra: 54, window: 10s}
 `))
 	if err := lst.Err(); err != nil {
