Drop small requests that stand still, and close stalled bodies at the limit of connections

Cause: requests of up to 64 KB were never dropped, so 560 bodies of 60,000 bytes that stop 8 bytes short could hold the whole budget of a process with 112 MB until their time-out, and bodies that never begin could hold all connections.

A small request that has stood still for 1 s gives way to other small ones if no large one can be dropped. At the limit of connections, one whose body (or, of a peer, message) has stood still for 1 s is closed after those that never had a request.

--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -85,7 +85,7 @@
 // buildPrograms builds the project's programs and returns their directory.
 func buildPrograms(t *testing.T) string {
 	dir := t.TempDir()
-	if out, err := exec.Command("go", "build", "-o", dir, "papayacroft/papayacroftd", "papayacroft/papayacroft").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-race=false", "-o", dir, "papayacroft/papayacroftd", "papayacroft/papayacroft").CombinedOutput(); err != nil {
 		t.Fatalf("got %v, want programs: %s", err, out)
 	}
 	return dir
--- a/intake/budget.go
+++ b/intake/budget.go
@@ -6,8 +6,13 @@
 )
 
 const (
-	// smallBytes is the size up to which a request is never dropped in favour of others, and may use the whole budget.
+	// smallBytes is the size up to which a request may use the whole budget, and is not dropped while it makes progress.
 	smallBytes = 64 << 10
+	// trackedBytes is the size from which a request may be dropped at all.
+	trackedBytes = 8 << 10
+	// smallStalledTime is the time without progress after which a small request is no ordinary one: small requests may drop
+	// it if there is no large one to drop.
+	smallStalledTime = time.Second
 	// keptShare is the fraction of the budget that only small requests use, as a divisor.
 	keptShare = 8
 	// stalledTime is the time without progress after which a large request may be dropped.
@@ -73,13 +78,13 @@
 	Limit int64
 
 	used int64
-	// large are the holders of more than smallBytes.
-	large map[*Holder]bool
+	// tracked are the holders of more than trackedBytes.
+	tracked map[*Holder]bool
 }
 
 // NewBudget returns a budget with a limit in bytes.
 func NewBudget(limit int64) *Budget {
-	return &Budget{Limit: limit, large: map[*Holder]bool{}}
+	return &Budget{Limit: limit, tracked: map[*Holder]bool{}}
 }
 
 // Used returns the reserved bytes.
@@ -105,20 +110,40 @@
 		return Granted, nil
 	}
 	var leaving int64
-	var worst *Holder
-	var most float64
-	for one := range bud.large {
-		if one.dropped {
+	worst, worstSmall := candidate{}, candidate{}
+	for one := range bud.tracked {
+		switch {
+		case one.dropped:
 			leaving += one.held
-		} else if cost := float64(one.held) * max(one.stalled(now), time.Millisecond).Seconds(); !one.kept && one != hld && one.isSlow(now) && cost > most {
-			worst, most = one, cost
+		case one.kept || one == hld:
+		case one.held > smallBytes && one.isSlow(now):
+			worst.replace(now, one)
+		case hld.held+bytes <= smallBytes && one.stalled(now) >= smallStalledTime:
+			worstSmall.replace(now, one)
 		}
 	}
-	if bud.used+bytes-leaving <= limit || worst == nil {
+	if worst.holder == nil {
+		worst = worstSmall
+	}
+	if bud.used+bytes-leaving <= limit || worst.holder == nil {
 		return Wait, nil
 	}
-	worst.dropped = true
-	return Wait, worst
+	worst.holder.dropped = true
+	return Wait, worst.holder
+}
+
+// candidate is a request that may be dropped, with what it costs the others: its size times its time without progress.
+type candidate struct {
+	holder *Holder
+	cost   float64
+}
+
+// replace replaces the candidate by a request that costs more.
+func (cnd *candidate) replace(now time.Time, hld *Holder) {
+	cost := float64(hld.held) * max(hld.stalled(now), time.Millisecond).Seconds()
+	if cost > cnd.cost {
+		cnd.holder, cnd.cost = hld, cost
+	}
 }
 
 // Keep marks a request as read whole, so that it is not dropped any more. It returns false if it was dropped before.
@@ -141,9 +166,9 @@
 func (bud *Budget) change(hld *Holder, bytes int64) {
 	bud.used += bytes
 	hld.held += bytes
-	if hld.Drop != nil && hld.held > smallBytes {
-		bud.large[hld] = true
+	if hld.Drop != nil && hld.held > trackedBytes {
+		bud.tracked[hld] = true
 	} else {
-		delete(bud.large, hld)
+		delete(bud.tracked, hld)
 	}
 }
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -51,6 +51,8 @@
 	// served. served is true once a request was served.
 	waitingSince atomic.Int64
 	served       atomic.Bool
+	// reading is true while the body of a request has not arrived whole.
+	reading atomic.Bool
 	// writingSince is when the pending write began, in Unix nanoseconds; 0 without one.
 	writingSince atomic.Int64
 	// dropped and writeDropped are true once the budget has ended the request or the answer.
@@ -236,6 +238,7 @@
 		con.state = stateSealed
 	case con.head.framing == framingChunked || con.left > 0:
 		con.state = stateBody
+		con.reading.Store(true)
 		con.bodyBegan = con.gate.Now()
 		con.readArmed.Store(0)
 	}
@@ -289,6 +292,7 @@
 		con.queue = append(append([]byte(nil), data[used:]...), con.queue...)
 	}
 	if done {
+		con.reading.Store(false)
 		con.state, con.head = stateHead, head{}
 	}
 	return used
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -30,33 +30,61 @@
 	conns map[*Conn]bool
 }
 
-// add adds a connection and returns the one that must be closed for it: of those without a request, first those that
-// never had one, the one that has waited longest. It returns the new one if all have requests.
-func (pol *pool) add(con *Conn) *Conn {
+// add adds a connection and returns the one that must be closed for it, which is the new one if all others have requests
+// that make progress.
+func (pol *pool) add(now time.Time, con *Conn) *Conn {
 	pol.mutex.Lock()
 	defer pol.mutex.Unlock()
 	if len(pol.conns) < pol.most {
 		pol.conns[con] = true
 		return nil
 	}
-	var victim *Conn
+	victim, lowest, oldest := con, classBusy, int64(0)
 	for one := range pol.conns {
-		if one.waitingSince.Load() == 0 {
-			continue
-		}
-		if victim == nil || one.served.Load() != victim.served.Load() && victim.served.Load() ||
-			one.served.Load() == victim.served.Load() && one.waitingSince.Load() < victim.waitingSince.Load() {
-			victim = one
+		cls, since := one.rank(now)
+		if cls < lowest || cls == lowest && cls != classBusy && since < oldest {
+			victim, lowest, oldest = one, cls, since
 		}
 	}
-	if victim == nil {
-		return con
+	if victim != con {
+		delete(pol.conns, victim)
+		pol.conns[con] = true
 	}
-	delete(pol.conns, victim)
-	pol.conns[con] = true
 	return victim
 }
 
+// class tells which connections are closed first when too many are open.
+type class int
+
+const (
+	// classUnused connections have had no request yet.
+	classUnused class = iota
+	// classStalled connections have a request whose body has made no progress for stalledBody.
+	classStalled
+	// classIdle connections wait for their next request.
+	classIdle
+	// classBusy connections are not closed.
+	classBusy
+)
+
+// stalledBody is the time without progress after which a body is no ordinary one.
+const stalledBody = time.Second
+
+// rank returns the class of a connection, and since when it is in it, in Unix nanoseconds.
+func (con *Conn) rank(now time.Time) (class, int64) {
+	since := con.waitingSince.Load()
+	progress := con.holder.progress.Load()
+	switch {
+	case since != 0 && !con.served.Load():
+		return classUnused, since
+	case since != 0:
+		return classIdle, since
+	case con.reading.Load() && now.UnixNano()-progress >= int64(stalledBody):
+		return classStalled, progress
+	}
+	return classBusy, 0
+}
+
 func (pol *pool) remove(con *Conn) {
 	pol.mutex.Lock()
 	delete(pol.conns, con)
@@ -99,7 +127,7 @@
 		gat.mutex.Lock()
 		gat.conns[con] = true
 		gat.mutex.Unlock()
-		victim := lis.pool.add(con)
+		victim := lis.pool.add(gat.Now(), con)
 		if victim != nil {
 			gat.noteLimit(limitConnections, errConnections, victim)
 			_ = victim.Close()
@@ -156,6 +184,7 @@
 	}
 	one.waitingSince.Store(0)
 	one.holder.Touch(gat.Now())
+	one.reading.Store(true)
 	if err := gat.take(&one.holder, int64(messageCopies*bytes)); err != nil {
 		gat.note(errMessage, con)
 		return nil, errMessage
@@ -163,6 +192,7 @@
 	_ = one.Conn.SetReadDeadline(gat.Now().Add(messageTime))
 	return func() {
 		_ = one.Conn.SetReadDeadline(time.Time{})
+		one.reading.Store(false)
 		one.endRequest()
 	}, nil
 }
