--- a/intake/budget.go
+++ b/intake/budget.go
@@ -109,27 +109,33 @@
 		bud.change(hld, bytes)
 		return Granted, nil
 	}
-	var leaving int64
-	worst, worstSmall := candidate{}, candidate{}
+	leaving, worst := bud.worst(now, hld, hld.held+bytes <= smallBytes)
+	if worst == nil || bud.used+bytes-leaving <= limit {
+		return Wait, nil
+	}
+	worst.dropped = true
+	return Wait, worst
+}
+
+// worst returns the request that is dropped first for another one, and the bytes of those that were dropped already. For a
+// small request it may be a small one, if there is no large one.
+func (bud *Budget) worst(now time.Time, hld *Holder, isSmall bool) (leaving int64, worst *Holder) {
+	large, small := candidate{}, candidate{}
 	for one := range bud.tracked {
 		switch {
 		case one.dropped:
 			leaving += one.held
 		case one.kept || one == hld:
 		case one.held > smallBytes && one.isSlow(now):
-			worst.replace(now, one)
-		case hld.held+bytes <= smallBytes && one.stalled(now) >= smallStalledTime:
-			worstSmall.replace(now, one)
+			large.replace(now, one)
+		case isSmall && one.stalled(now) >= smallStalledTime:
+			small.replace(now, one)
 		}
 	}
-	if worst.holder == nil {
-		worst = worstSmall
-	}
-	if bud.used+bytes-leaving <= limit || worst.holder == nil {
-		return Wait, nil
+	if large.holder != nil {
+		return leaving, large.holder
 	}
-	worst.holder.dropped = true
-	return Wait, worst.holder
+	return leaving, small.holder
 }
 
 // candidate is a request that may be dropped, with what it costs the others: its size times its time without progress.
