--- /dev/null
+++ b/intake/budget.go
@@ -0,0 +1,180 @@
+package intake
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// smallBytes is the size up to which a request may use the whole budget, and is not dropped while it makes progress.
+	smallBytes = 64 << 10
+	// trackedBytes is the size from which a request may be dropped at all.
+	trackedBytes = 8 << 10
+	// smallStalledTime is the time without progress after which a small request is no ordinary one: small requests may drop
+	// it if there is no large one to drop.
+	smallStalledTime = time.Second
+	// keptShare is the fraction of the budget that only small requests use, as a divisor.
+	keptShare = 8
+	// stalledTime is the time without progress after which a large request may be dropped.
+	stalledTime = 500 * time.Millisecond
+	// slowBytes is the number of bytes a second below which a large request counts as slow; a body of 4 MiB at this rate
+	// takes longer than the gateway's limit of 10 s.
+	slowBytes = 256 << 10
+)
+
+// Verdict is the answer to a request for memory.
+type Verdict int
+
+// The verdicts.
+const (
+	// Granted means that the memory is reserved.
+	Granted Verdict = iota
+	// Wait means that the memory may become free soon.
+	Wait
+	// Refused means that the holder has been dropped and gets no more memory.
+	Refused
+)
+
+// Holder is what one request holds of a Budget.
+type Holder struct {
+	// Drop ends the request; it must not block. A holder without it is never dropped.
+	Drop func()
+
+	// began is when the request began to hold memory, and progress when its last byte arrived, in Unix nanoseconds.
+	began    time.Time
+	progress atomic.Int64
+	held     int64
+	// kept is true once the request was read whole: it is not dropped any more.
+	kept    bool
+	dropped bool
+}
+
+// Held returns the reserved bytes.
+func (hld *Holder) Held() int64 {
+	return hld.held
+}
+
+// Touch records that bytes of the request arrived. It may be called at any time.
+func (hld *Holder) Touch(now time.Time) {
+	hld.progress.Store(now.UnixNano())
+}
+
+// stalled returns the time without progress.
+func (hld *Holder) stalled(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, max(hld.progress.Load(), hld.began.UnixNano())))
+}
+
+// isSlow reports whether the request stands still or arrives too slowly.
+func (hld *Holder) isSlow(now time.Time) bool {
+	if hld.stalled(now) >= stalledTime {
+		return true
+	}
+	elapsed := now.Sub(hld.began)
+	return elapsed >= 2*stalledTime && float64(hld.held) < slowBytes*elapsed.Seconds()
+}
+
+// Budget is the memory that all requests of a process may hold. Its methods are not safe for concurrent use.
+type Budget struct {
+	Limit int64
+
+	used int64
+	// tracked are the holders of more than trackedBytes.
+	tracked map[*Holder]bool
+}
+
+// NewBudget returns a budget with a limit in bytes.
+func NewBudget(limit int64) *Budget {
+	return &Budget{Limit: limit, tracked: map[*Holder]bool{}}
+}
+
+// Used returns the reserved bytes.
+func (bud *Budget) Used() int64 {
+	return bud.used
+}
+
+// Take reserves bytes. If they are not free, it returns Wait and, if a request is to be dropped for them, that request:
+// of the slow ones, the one whose size times its time without progress is the largest.
+func (bud *Budget) Take(now time.Time, hld *Holder, bytes int64) (Verdict, *Holder) {
+	if hld.dropped {
+		return Refused, nil
+	}
+	if hld.held == 0 {
+		hld.began = now
+	}
+	limit := bud.Limit
+	if hld.held+bytes > smallBytes {
+		limit -= limit / keptShare
+	}
+	if bud.used+bytes <= limit {
+		bud.change(hld, bytes)
+		return Granted, nil
+	}
+	leaving, worst := bud.worst(now, hld, hld.held+bytes <= smallBytes)
+	if worst == nil || bud.used+bytes-leaving <= limit {
+		return Wait, nil
+	}
+	worst.dropped = true
+	return Wait, worst
+}
+
+// worst returns the request that is dropped first for another one, and the bytes of those that were dropped already. For a
+// small request it may be a small one, if there is no large one.
+func (bud *Budget) worst(now time.Time, hld *Holder, isSmall bool) (leaving int64, worst *Holder) {
+	large, small := candidate{}, candidate{}
+	for one := range bud.tracked {
+		switch {
+		case one.dropped:
+			leaving += one.held
+		case one.kept || one == hld:
+		case one.held > smallBytes && one.isSlow(now):
+			large.replace(now, one)
+		case isSmall && one.stalled(now) >= smallStalledTime:
+			small.replace(now, one)
+		}
+	}
+	if large.holder != nil {
+		return leaving, large.holder
+	}
+	return leaving, small.holder
+}
+
+// candidate is a request that may be dropped, with what it costs the others: its size times its time without progress.
+type candidate struct {
+	holder *Holder
+	cost   float64
+}
+
+// replace replaces the candidate by a request that costs more.
+func (cnd *candidate) replace(now time.Time, hld *Holder) {
+	cost := float64(hld.held) * max(hld.stalled(now), time.Millisecond).Seconds()
+	if cost > cnd.cost {
+		cnd.holder, cnd.cost = hld, cost
+	}
+}
+
+// Keep marks a request as read whole, so that it is not dropped any more. It returns false if it was dropped before.
+func (bud *Budget) Keep(hld *Holder) bool {
+	hld.kept = !hld.dropped
+	return hld.kept
+}
+
+// Release returns bytes to the budget.
+func (bud *Budget) Release(hld *Holder, bytes int64) {
+	bud.change(hld, -min(bytes, hld.held))
+}
+
+// Reset returns all that a holder has, so that it can be used for another request.
+func (bud *Budget) Reset(hld *Holder) {
+	bud.change(hld, -hld.held)
+	hld.kept = false
+}
+
+func (bud *Budget) change(hld *Holder, bytes int64) {
+	bud.used += bytes
+	hld.held += bytes
+	if hld.Drop != nil && hld.held > trackedBytes {
+		bud.tracked[hld] = true
+	} else {
+		delete(bud.tracked, hld)
+	}
+}
