Order waiting requests by the time left until their target

Cause: the queue of the product's other interface orders by age and knows no latency targets of opaque requests, no callers that come back, and no hints of their lengths. Without ByTarget the queue does what it did.

--- a/admission/lengths.go
+++ b/admission/lengths.go
@@ -66,6 +66,12 @@
 	}
 }
 
+// Known reports whether enough requests of a kind have completed to estimate its lengths.
+func (lng *Lengths) Known(knd Kind) bool {
+	value, ok := lng.kinds.Load(knd)
+	return ok && value.(*lengthHistory).table.Load() != nil
+}
+
 // Remaining returns the given quantile of the number of tokens that a request will still generate, estimated from the
 // requests of its kind that were longer than the generated tokens. The result never exceeds maxTokens-generated, except
 // that it is at least 1.
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -36,6 +36,13 @@
 	Deadline time.Time
 	// Target is how long the item should wait at most; 0 means that it has no target.
 	Target time.Duration
+	// Tokens is the memory that the item needs at an engine, in tokens.
+	Tokens int
+	// LatestStart is the time until which the item must be sent to meet its latency target; zero without a target. It is used
+	// if the queue orders by target.
+	LatestStart time.Time
+	// Retried is true if the caller was refused before and has come back.
+	Retried bool
 	// Value is data of the caller; the queue doesn't use it.
 	Value any
 
@@ -63,6 +70,8 @@
 	Ageing time.Duration
 	// Unfair disables fairness between organisations, for measurements.
 	Unfair bool
+	// ByTarget selects the order of Order, by the time left until the target, in place of that of Next, by age.
+	ByTarget bool
 
 	buckets map[bucketKey]*bucket
 	// served holds the decaying count of tokens served to each organisation.
@@ -110,6 +119,10 @@
 		return nil
 	}
 	victim := que.leastWorth()
+	if que.ByTarget {
+		order := que.Order(now)
+		victim = order[len(order)-1]
+	}
 	que.Remove(victim)
 	return victim
 }
