Put late requests behind all that can be on time

Overdue counts requests that wait at other daemons, too. NewLevelAt is gone: a level that starts at 0.6 let engines preempt.

--- a/admission/level.go
+++ b/admission/level.go
@@ -24,13 +24,8 @@
 
 // NewLevel returns a level with the start value.
 func NewLevel() *Level {
-	return NewLevelAt(startLevel)
-}
-
-// NewLevelAt returns a level with another start value.
-func NewLevelAt(start float64) *Level {
 	lvl := &Level{}
-	lvl.bits.Store(math.Float64bits(start))
+	lvl.bits.Store(math.Float64bits(startLevel))
 	return lvl
 }
 
--- a/admission/target.go
+++ b/admission/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -52,8 +53,8 @@
 	return max(minRetryAfter, min(wait, longest))
 }
 
-// Order returns all waiting items, the one to send first in front: by rank; items that can still meet their target before
-// those that can't; by the tokens served to their organisations, the fewest first; retries before first attempts; by the time
+// Order returns all waiting items, the one to send first in front: items that can still meet their target before those that can't,
+// which gain little from going first; by rank; by the tokens served to their organisations, the fewest first; retries before first attempts; by the time
 // left until the target; by age.
 func (que *Queue) Order(now time.Time) []*Item {
 	que.decay(now)
@@ -72,8 +73,8 @@
 		served = cmp.Compare(que.served[one.Organisation], que.served[two.Organisation])
 	}
 	return cmp.Or(
-		cmp.Compare(two.Rank, one.Rank),
 		compareBools(one.IsLate(now), two.IsLate(now)),
+		cmp.Compare(two.Rank, one.Rank),
 		served,
 		compareBools(two.Retried, one.Retried),
 		compareTimes(one.LatestStart, two.LatestStart),
@@ -101,9 +102,12 @@
 }
 
 // Overdue removes and returns the items that can no longer meet their target while others that can wait for the same
-// resource. Retries stay until their deadline.
-func (que *Queue) Overdue(now time.Time) []*Item {
-	punctual := map[string]bool{}
+// resource, here or elsewhere: punctual has the resources for which such items wait elsewhere. Retries stay until their deadline.
+func (que *Queue) Overdue(now time.Time, punctual map[string]bool) []*Item {
+	punctual = maps.Clone(punctual)
+	if punctual == nil {
+		punctual = map[string]bool{}
+	}
 	var overdue []*Item
 	for _, itm := range que.Order(now) {
 		if !itm.LatestStart.IsZero() && !itm.IsLate(now) {
