--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -80,6 +80,12 @@
 	Preferred map[string]bool
 	// Force makes Choose return the best endpoint even if all are full.
 	Force bool
+	// MaxDelay replaces delayLimit if it is above 0, for requests that have waited.
+	MaxDelay float64
+	// Safest makes the endpoint's share of failures outweigh its load.
+	Safest bool
+	// Veto, if set, reports that an endpoint that is not full must not be chosen because of other waiting requests.
+	Veto func(edp *catalog.Endpoint) bool
 	// Brief marks a request that is expected to end soon; it may fill an engine up to briefLimit.
 	Brief bool
 }
@@ -92,6 +98,14 @@
 	return 1
 }
 
+// maxDelay returns the expected time to the first event, as a part of its target, above which an engine is full.
+func (req *Request) maxDelay() float64 {
+	if req.MaxDelay > 0 {
+		return req.MaxDelay
+	}
+	return delayLimit
+}
+
 // Choice is the result of Choose: an endpoint, or the reason why there is none.
 type Choice struct {
 	Endpoint *catalog.Endpoint
@@ -139,6 +153,9 @@
 	FailureDomain string
 	// Throttle knows the endpoints that name a limit.
 	Throttle *Throttle
+	// Serial makes the prompts of all peers at an engine count as computed one after the other, not at the same time; see
+	// pendingSerial. It must be set before the first use.
+	Serial bool
 
 	endpoints map[string]*endpoint
 }
@@ -156,6 +173,8 @@
 	countedAt time.Time
 	// avoidUntil is the time until which the endpoint counts as unreachable.
 	avoidUntil time.Time
+	// serial is Balancer.Serial.
+	serial bool
 }
 
 // peerUsage is the usage that another daemon reported, and when the report was received.
@@ -232,9 +251,12 @@
 	score, full = use, use > req.limit()
 	if engine != nil {
 		delay := sta.firstEventDelay(now, req)
-		score, full = memoryWeight*use+delay, full || delay > delayLimit
+		score, full = memoryWeight*use+delay, full || delay > req.maxDelay()
 	}
 	score += failureWeight * sta.failureShare(now)
+	if req.Safest {
+		score += safestWeight * sta.failureShare(now)
+	}
 	switch {
 	case req.Source != "" && edp.FailureDomain != req.Source:
 		score += copyPenalty
@@ -247,13 +269,23 @@
 	if now.Before(sta.avoidUntil) {
 		score += unreachablePenalty
 	}
-	return score, full
+	return score, full || req.Veto != nil && req.Veto(edp)
 }
 
 // utilization returns the part of the endpoint's capacity that is in use once the request is added: the greater of the
 // parts of its slots and of its memory. At 1 the endpoint is full.
 func (sta *endpoint) utilization(now time.Time, edp *catalog.Endpoint, engine *catalog.Engine, req *Request) float64 {
-	flights, tokens := sta.own.Flights, sta.own.Tokens
+	flights, tokens := sta.load(now)
+	use := float64(flights+1) / float64(edp.Slots)
+	if engine != nil && engine.CapacityTokens > 0 {
+		use = max(use, float64(tokens+req.Tokens)/(memoryLimit*float64(engine.CapacityTokens)))
+	}
+	return use
+}
+
+// load returns the requests of all daemons at the endpoint, and the memory in tokens that they are expected to need.
+func (sta *endpoint) load(now time.Time) (flights, tokens int) {
+	flights, tokens = sta.own.Flights, sta.own.Tokens
 	for _, per := range sta.peers {
 		if now.Sub(per.at) < peerUsageLifetime {
 			flights += per.usage.Flights
@@ -265,24 +297,28 @@
 		// daemon's requests since then is added.
 		flights = max(flights, sta.report.Running+sta.report.Waiting+sta.own.Flights-sta.report.ownFlights)
 	}
-	use := float64(flights+1) / float64(edp.Slots)
-	if engine != nil && engine.CapacityTokens > 0 {
-		use = max(use, float64(tokens+req.Tokens)/(memoryLimit*float64(engine.CapacityTokens)))
-	}
-	return use
+	return flights, tokens
 }
 
 // firstEventDelay returns the expected time to the first event as a part of its target.
 // All daemons send requests to a new, empty engine at once, and it computes their prompts one after the other.
 // Only the counts that the daemons send to each other show this in time; the engine's reports come too late.
 func (sta *endpoint) firstEventDelay(now time.Time, req *Request) float64 {
+	return (sta.pendingPrefill(now) + float64(req.Prefill)) / prefillTokensPerSecond / max(req.Target, time.Second).Seconds()
+}
+
+// pendingPrefill returns the prompt tokens that the engine still has to compute for the requests of all daemons.
+func (sta *endpoint) pendingPrefill(now time.Time) float64 {
+	if sta.serial {
+		return sta.pendingSerial(now)
+	}
 	pending := float64(sta.own.Prefill)
 	for _, per := range sta.peers {
 		if age := now.Sub(per.at); age < peerUsageLifetime {
 			pending += max(0, float64(per.usage.Prefill)-prefillTokensPerSecond*age.Seconds())
 		}
 	}
-	return (pending + float64(req.Prefill)) / prefillTokensPerSecond / max(req.Target, time.Second).Seconds()
+	return pending
 }
 
 // Begin counts a request that is about to be sent to an endpoint.
@@ -401,7 +437,7 @@
 func (bal *Balancer) endpoint(id string) *endpoint {
 	sta, ok := bal.endpoints[id]
 	if !ok {
-		sta = &endpoint{}
+		sta = &endpoint{serial: bal.Serial}
 		bal.endpoints[id] = sta
 	}
 	return sta
--- /dev/null
+++ b/dispatch/waiting.go
@@ -0,0 +1,131 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// waitingLifetime is how long the waiting work that a peer reported counts.
+const waitingLifetime = time.Second
+
+// LatePriority is the priority that requests count with once they have missed their target, so that they don't keep others from being
+// on time. It is lower than that of any route.
+const LatePriority = 1 << 20
+
+// WaitingTokens is the memory in tokens that the requests waiting at a daemon need, by service and priority; 0 is the highest
+// priority.
+type WaitingTokens map[string]map[int]int
+
+// Waiting is what other daemons reported of the requests that wait there.
+type Waiting struct {
+	peers map[string]peerWaiting
+}
+
+// peerWaiting is what one daemon reported, and when it was received.
+type peerWaiting struct {
+	tokens WaitingTokens
+	at     time.Time
+}
+
+// NewWaiting returns a record without reports.
+func NewWaiting() *Waiting {
+	return &Waiting{peers: map[string]peerWaiting{}}
+}
+
+// Set replaces the report of a daemon.
+func (wtg *Waiting) Set(now time.Time, name string, tokens WaitingTokens) {
+	if len(tokens) == 0 {
+		delete(wtg.peers, name)
+		return
+	}
+	wtg.peers[name] = peerWaiting{tokens: tokens, at: now}
+}
+
+// Above returns the tokens of a service that wait at peers with a higher priority than the given one, and the least of them that wait
+// at one peer, which no single request exceeds there. With users, only the daemons named there count.
+func (wtg *Waiting) Above(now time.Time, service string, priority int, users []string) (sum, least int) {
+	for name, per := range wtg.peers {
+		if now.Sub(per.at) >= waitingLifetime || users != nil && !slices.Contains(users, name) {
+			continue
+		}
+		own := 0
+		for one, tokens := range per.tokens[service] {
+			if one < priority {
+				own += tokens
+			}
+		}
+		if sum += own; own > 0 && (least == 0 || own < least) {
+			least = own
+		}
+	}
+	return sum, least
+}
+
+// Services returns the services for which requests that can be on time wait at peers.
+func (wtg *Waiting) Services(now time.Time) map[string]bool {
+	services := map[string]bool{}
+	for _, per := range wtg.peers {
+		if now.Sub(per.at) >= waitingLifetime {
+			continue
+		}
+		for service, tokens := range per.tokens {
+			for priority := range tokens {
+				if priority < LatePriority {
+					services[service] = true
+				}
+			}
+		}
+	}
+	return services
+}
+
+// Before returns the number of peers at which requests of a service and priority wait and which go before a daemon at an endpoint. The
+// order is different at each endpoint and the same for all daemons. With users, only the daemons named there count.
+func (wtg *Waiting) Before(now time.Time, service string, priority int, users []string, endpoint, name string) int {
+	count, own := 0, turnHash(endpoint, name)
+	for peer, per := range wtg.peers {
+		if now.Sub(per.at) >= waitingLifetime || per.tokens[service][priority] == 0 || users != nil && !slices.Contains(users, peer) {
+			continue
+		}
+		if turnHash(endpoint, peer) < own {
+			count++
+		}
+	}
+	return count
+}
+
+func turnHash(endpoint, name string) uint64 {
+	return xxhash.Sum64String(endpoint + "\x00" + name)
+}
+
+// Backlog returns the tokens of a service that wait at peers with the given or a higher priority, weighted by the part of its
+// waiting work that each peer may send to engines that this daemon uses; shares has these parts, nil means all.
+func (wtg *Waiting) Backlog(now time.Time, service string, priority int, shares map[string]float64) float64 {
+	sum := 0.0
+	for name, per := range wtg.peers {
+		if now.Sub(per.at) >= waitingLifetime {
+			continue
+		}
+		share := 1.0
+		if shares != nil {
+			share = shares[name]
+		}
+		for one, tokens := range per.tokens[service] {
+			if one <= priority {
+				sum += share * float64(tokens)
+			}
+		}
+	}
+	return sum
+}
+
+// Forget removes expired reports.
+func (wtg *Waiting) Forget(now time.Time) {
+	for name, per := range wtg.peers {
+		if now.Sub(per.at) >= waitingLifetime {
+			delete(wtg.peers, name)
+		}
+	}
+}
