--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -203,14 +203,18 @@
 // PermitWait returns the time until a request is expected to get a permit for an endpoint of its service after a number of
 // others, while all of them are denied.
 func (bal *Balancer) PermitWait(now time.Time, flt catalog.FleetView, req *Request, others int) time.Duration {
-	wait, perSecond := longestPermitWait, 0.0
+	wait, perSecond, limited := longestPermitWait, 0.0, false
 	for id, edp := range flt.Endpoints {
 		if _, ok := bal.eligible(flt, &edp, req); ok && bal.Throttle.Denied(now, id) {
 			wait = min(wait, bal.Throttle.denied[id].Sub(now))
-			perSecond += bal.Throttle.Limit(now, id).PerSecond
+			lim := bal.Throttle.Limit(now, id)
+			perSecond, limited = perSecond+lim.PerSecond, limited || lim.Named
 		}
 	}
-	if perSecond <= 0 {
+	switch {
+	case !limited:
+		return wait
+	case perSecond <= 0:
 		return longestPermitWait
 	}
 	return min(longestPermitWait, wait+time.Duration(float64(others)/perSecond*float64(time.Second)))
