Tell the daemons that use the same engines what waits here

Cause: a daemon knows its own queue only, so that requests of a lower priority start while urgent ones wait at a peer. Change: gateway.work carries the waiting tokens by service and priority. Without a Backlog nothing is sent or read; older daemons ignore the field. Users tells which daemons use which engines.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -42,6 +42,8 @@
 	Version int64 `json:"version"`
 	// Usage is the sender's work at endpoints, by endpoint id.
 	Usage map[string]dispatch.Usage `json:"usage,omitempty"`
+	// Waiting is the work that waits at the sender, by service and priority; nil if the sender has no queue.
+	Waiting dispatch.WaitingTokens `json:"waiting,omitzero"`
 	// Crashes are requests that crashed endpoints.
 	Crashes []Crash `json:"crashes,omitempty"`
 	// Survivals show which of the parts of prompts in Crashes are sound.
@@ -127,9 +129,11 @@
 	// Feeds are the followed topics by name.
 	Feeds    map[string]*Feed
 	Requests Requests
-	Control  *control.Control
-	Client   *peer.Client
-	Logger   logrus.FieldLogger
+	// Backlog, if set, is the work that waits for capacity.
+	Backlog Backlog
+	Control *control.Control
+	Client  *peer.Client
+	Logger  logrus.FieldLogger
 	// Parse decodes a configuration that a peer sent.
 	Parse func(data []byte) (*catalog.Catalog, error)
 	Now   func() time.Time
@@ -139,6 +143,7 @@
 
 	roundRequests chan struct{}
 	work          chan struct{}
+	waiting       chan struct{}
 	parts         chan *TopicPart
 	// newer holds at most one peer with a newer configuration; see noticeVersion.
 	newer chan newerVersion
@@ -159,7 +164,7 @@
 func New() *Exchange {
 	return &Exchange{
 		Client: peer.NewClient(), Now: time.Now, Feeds: map[string]*Feed{}, broadcasts: map[string]peer.Handler{},
-		roundRequests: make(chan struct{}, 1), work: make(chan struct{}, 1), parts: make(chan *TopicPart, feedBuffer),
+		roundRequests: make(chan struct{}, 1), work: make(chan struct{}, 1), waiting: make(chan struct{}, 1), parts: make(chan *TopicPart, feedBuffer),
 		newer: make(chan newerVersion, 1), changed: map[string]bool{}, failures: map[string]*peerFailure{},
 	}
 }
@@ -174,6 +179,7 @@
 	})
 	srv.Handlers[workMethod] = answer(func(_ context.Context, msg *message) any {
 		exc.heard(msg.Name)
+		exc.receiveWaiting(msg)
 		exc.Requests.SetPeerUsage(exc.Now(), msg.Name, msg.Usage)
 		return nil
 	})
--- a/exchange/notices.go
+++ b/exchange/notices.go
@@ -99,9 +99,9 @@
 	if shr == nil {
 		return
 	}
-	answering := exc.Answering()
+	answering, waiting := exc.Answering(), exc.waitingTokens()
 	for id := range changed {
-		msg := &message{Name: exc.Name, Usage: map[string]dispatch.Usage{id: exc.Requests.UsageAt(id)}}
+		msg := &message{Name: exc.Name, Waiting: waiting, Usage: map[string]dispatch.Usage{id: exc.Requests.UsageAt(id)}}
 		for _, name := range shr.users[id] {
 			if per, ok := answering[name]; ok {
 				exc.notify(ctx, per.Address, workMethod, msg)
--- a/exchange/sharing.go
+++ b/exchange/sharing.go
@@ -20,6 +20,8 @@
 	// users has the daemons that use each engine. own has the engines that this daemon uses; nil means all engines.
 	users map[string][]string
 	own   map[string]bool
+	// shares has, for each other daemon, the part of its engines that are in own.
+	shares map[string]float64
 }
 
 // newSharing assigns the engines of a snapshot to the members; it returns the old assignment if nothing has changed.
@@ -40,6 +42,7 @@
 			shr.own[id] = true
 		}
 	}
+	shr.shares = shr.commonShares()
 	return shr
 }
 
--- a/exchange/work_test.go
+++ b/exchange/work_test.go
@@ -92,7 +92,7 @@
 }
 
 // startSteady runs the exchange of one daemon that knows all others and the engine.
-func startSteady(ctx context.Context, grp *sync.WaitGroup, network simNet, all map[string]control.Peer, nod *simNode, name string, rqs *steadyRequests) {
+func startSteady(ctx context.Context, grp *sync.WaitGroup, network simNet, all map[string]control.Peer, nod *simNode, name string, rqs *steadyRequests, setups ...func(*exchange.Exchange)) *exchange.Exchange {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	ctl := control.New()
@@ -101,6 +101,9 @@
 	exc.Name, exc.Address, exc.Control, exc.Logger, exc.Requests = name, nod.address, ctl, logger, rqs
 	exc.Client.Dial = network.dialer(nod)
 	ctl.OnTick = exc.ShareEngines
+	for _, stp := range setups {
+		stp(exc)
+	}
 	srv := peer.NewServer()
 	srv.Logger = logger
 	exc.Register(srv)
@@ -121,4 +124,5 @@
 		time.Sleep(time.Second)
 		exc.WorkChanged("e")
 	})
+	return exc
 }
