--- a/control/control.go
+++ b/control/control.go
@@ -60,6 +60,8 @@
 	OnTick func(snp *Snapshot)
 	// OnLeaving, if set, is called for each endpoint that leaves after each change of the endpoints and every tickInterval.
 	OnLeaving func(id string)
+	// OnEndpoints, if set, is called after each change of the endpoints; it must not block.
+	OnEndpoints func()
 
 	catalog     *catalog.Catalog
 	fleet       *catalog.Fleet
@@ -139,6 +141,9 @@
 	ctl.snapshot.Store(snp)
 	if snp.Fleet.Changes != old.Fleet.Changes {
 		ctl.announce(old, snp)
+		if ctl.OnEndpoints != nil {
+			ctl.OnEndpoints()
+		}
 	}
 }
 
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -27,7 +27,16 @@
 	// MemoryMB is the memory limit of the process; 0 means no limit.
 	MemoryMB int         `yaml:"memoryMB"`
 	Retries  RetryBudget `yaml:"retries"`
-	Log      Log         `yaml:"log"`
+	Queue    Queue       `yaml:"queue"`
+	// Contracts are the conditions that the platform says apply to its deployment, separated by commas; package platform translates
+	// them into settings.
+	Contracts string `yaml:"contracts"`
+	Log       Log    `yaml:"log"`
+}
+
+// Queue is the queue of requests for which no endpoint has capacity.
+type Queue struct {
+	Enabled bool `yaml:"enabled"`
 }
 
 // RetryBudget limits how many requests all daemons together send again to another endpoint.
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -39,11 +39,16 @@
 storeAddress: 10.0.0.2:5
 drainNotice: 8s
 memoryMB: 134
+contracts: "pressure,other"
+queue: {enabled: true}
 retries: {ratio: 0.2, extra: 54, window: 10s}
 `))
 	if err := lst.Err(); err != nil {
 		t.Fatal(err)
 	}
+	if !set.Queue.Enabled || set.Contracts != "pressure,other" {
+		t.Errorf("got queue %t and contracts %q, want true and those of the file", set.Queue.Enabled, set.Contracts)
+	}
 	if got, want := set.Log.Format, "json"; got != want {
 		t.Errorf("got log format %q, want %q", got, want)
 	}
