Queue streams and calls that find all endpoints full

Change: with a Scheduler, awaitEndpoint waits for a turn there. Ends of requests, news of peers, changes of endpoints and times of permits start a pass; 100 ms is the fallback. A request's work counts from its turn on. Calls wait for a third of their target, a planned stop refuses what waits. Metrics queue_waiting, queue_outcomes_total and queue_wait_seconds, log line request waited. Result: go test -race ./gateway -run 'TestScenarios/queue|TestQueueWakes|TestRetries|TestTurn|TestCalls' passes; with WakeQueue made to do nothing, end, peer, endpoint, lost and permit of TestQueueWakes fail (a wait of 100 ms instead of 10 in the first four).

--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -70,6 +70,8 @@
 	grp.Go(func() error { dmn.Control.Run(background); return nil })
 	grp.Go(func() error { dmn.Exchange.Run(background); return nil })
 	grp.Go(func() error { dmn.Prober.Run(background); return nil })
+	grp.Go(func() error { dmn.Server.RunQueue(background); return nil })
+	grp.Go(func() error { dmn.Exchange.RunBacklog(background); return nil })
 	grp.Go(func() error { dmn.Exchange.RunNotices(background); return nil })
 	grp.Go(func() error { dmn.Exchange.RunFetch(background); return nil })
 	for _, tsk := range dmn.Tasks {
@@ -132,6 +134,7 @@
 	srv.OnWork = dmn.Exchange.WorkChanged
 	srv.OnLeaving = func(id string, bornAt int64) { go dmn.markLeaving(id, bornAt) }
 	srv.AskPermit, srv.OnLimit = dmn.Exchange.AskPermit, dmn.Exchange.ShareLimit
+	dmn.buildQueue()
 	dmn.Prober.Name, dmn.Prober.Control, dmn.Prober.Exchange, dmn.Prober.Engines, dmn.Prober.Logger = set.Name, dmn.Control, dmn.Exchange, srv.Engines, dmn.Logger
 	dmn.Exchange.Address = set.PeerAddress
 	dmn.Control.OnLeaving = srv.EndpointLeaves
@@ -144,6 +147,7 @@
 		srv.Balancer.Forget(srv.Now(), snp.Fleet)
 		srv.Throttle.Forget(srv.Now())
 		srv.Permits.Forget(srv.Now())
+		srv.forgetWaiting()
 	}
 }
 
@@ -172,7 +176,8 @@
 	}
 	old := dmn.Settings
 	restart := set.CallerAddress != old.CallerAddress || set.ReadyAddress != old.ReadyAddress ||
-		set.PeerAddress != old.PeerAddress || set.StoreAddress != old.StoreAddress
+		set.PeerAddress != old.PeerAddress || set.StoreAddress != old.StoreAddress ||
+		set.Contracts != old.Contracts || set.Queue.Enabled && !old.Queue.Enabled
 	dmn.Logger.WithFields(logrus.Fields{"retries": set.Retries, "level": set.Log.Level, "needsRestart": restart}).Info("settings reloaded")
 }
 
@@ -200,6 +205,7 @@
 	began := time.Now()
 	dmn.Server.drainingSince.Store(began.UnixNano())
 	dmn.Exchange.RequestRound()
+	dmn.Server.StopQueue()
 	dmn.Logger.WithField("inFlight", dmn.Server.InFlight()).Info("draining")
 	dmn.awaitUnready()
 	callers.SetKeepAlivesEnabled(false)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -33,6 +33,7 @@
 	limits *prometheus.CounterVec
 	calls, firstEvents,
 	pauses prometheus.Histogram
+	queue queueMetrics
 }
 
 // NewMetrics returns metrics in a new registry.
@@ -61,6 +62,7 @@
 			Namespace: metricsNamespace, Name: "longest_pause_seconds", Help: "Longest pause between two events of a complete stream.", Buckets: callBuckets,
 		}),
 	}
+	met.queue = newQueueMetrics(met.registry)
 	met.registry.MustRegister(met.requests, met.sends, met.moves, met.limits, met.calls, met.firstEvents, met.pauses,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return met
@@ -83,6 +85,7 @@
 	gauge("peers_answering", "Other daemons that answer.", func(*control.Snapshot) float64 { return float64(len(dmn.Exchange.Answering())) })
 	gauge("requests_in_flight", "Requests being served.", func(*control.Snapshot) float64 { return float64(dmn.Server.InFlight()) })
 	gauge("streams_waiting", "Streams that wait for room at an engine.", func(*control.Snapshot) float64 { return float64(dmn.Server.waiting.Load()) })
+	met.queue.register(dmn.Server)
 	gauge("oldest_report_seconds", "Age of the oldest report of an endpoint's load that counts in decisions.", func(*control.Snapshot) float64 {
 		report, _ := dmn.Server.ages()
 		return report.Seconds()
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -95,7 +96,7 @@
 	case trs.condemned != nil:
 		return trs.condemned
 	case trs.noEndpoint != "":
-		return notRun(trs.retryAfter, "no endpoint takes work: %s", trs.noEndpoint)
+		return notRun(cmp.Or(rqs.retryAfter, trs.retryAfter), "no endpoint takes work: %s", trs.noEndpoint)
 	}
 	return notRun(trs.retryAfter, "endpoints refused the request or took no connection")
 }
@@ -103,6 +104,7 @@
 // tryCall sends the request to one endpoint and reports whether it should be sent to another.
 func (srv *Server) tryCall(ctx context.Context, rqs *request, trs *tries) bool {
 	cho := srv.awaitEndpoint(ctx, rqs, dispatch.Work{}, true)
+	defer srv.releaseGranted(rqs)
 	if cho.Endpoint == nil {
 		trs.noEndpoint = cho.String()
 		return false
@@ -178,7 +180,7 @@
 			}
 		}).Stop()
 	}
-	flt := srv.begin(edp.ID, dispatch.Work{})
+	flt := srv.beginGranted(rqs, edp.ID, dispatch.Work{})
 	defer srv.end(flt)
 	lnk, err := Open(ctx, edp.Address, srv.outgoing(rqs, Forward{Endpoint: edp.ID, Priority: -1}))
 	srv.noteSendError(ctx, edp.ID, err)
--- a/gateway/scenario_start_test.go
+++ b/gateway/scenario_start_test.go
@@ -113,6 +113,7 @@
 func configuration(version string, changes []string) []byte {
 	without := map[string]bool{}
 	moved := map[string]string{}
+	priorities := map[string]int{}
 	more := 0
 	for i := 0; i < len(changes); i++ {
 		switch changes[i] {
@@ -125,6 +126,9 @@
 		case "move":
 			moved[changes[i+1]] = changes[i+2]
 			i += 2
+		case "priority":
+			priorities[changes[i+1]], _ = strconv.Atoi(changes[i+2])
+			i += 2
 		}
 	}
 	var routes []map[string]any
@@ -144,6 +148,7 @@
 		if service, ok := moved[name]; ok {
 			rou["service"] = service
 		}
+		rou["priority"] = priorities[name]
 		rou["host"], rou["pathPrefix"] = "site.example", "/"+name+"/"
 		routes = append(routes, rou)
 	}
@@ -193,6 +198,7 @@
 		PeerAddress: addresses[2], MetricsAddress: addresses[3], StoreAddress: storeProxy.Listener.Addr().String(), DrainNotice: document.Duration(8 * time.Second),
 		Retries: settings.RetryBudget{Ratio: 0.2, Extra: 50, Window: document.Duration(10 * time.Second)},
 		Log:     settings.Log{Level: "info", Format: "json"},
+		Queue:   settings.Queue{Enabled: sit.queue},
 	}
 	dmn := gateway.NewDaemon()
 	dmn.Settings, dmn.Logger = set, logger
--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -75,6 +75,8 @@
 	countedFrom time.Time
 	// stopped is the daemon that stopPermits has ended.
 	stopped string
+	// queue is true if daemons start with a queue.
+	queue bool
 }
 
 type siteEndpoint struct {
@@ -158,7 +160,7 @@
 // runSite runs commands for the store, the operator and daemons; it returns false for other commands.
 func (sit *site) runSite(args []string) bool {
 	switch args[0] {
-	case "publish": // publish VERSION [without ROUTE|KEY]... [move ROUTE SERVICE] [routes COUNT]
+	case "publish": // publish VERSION [without ROUTE|KEY]... [move ROUTE SERVICE] [priority ROUTE NUMBER]... [routes COUNT]
 		sit.published = configuration(args[1], args[2:])
 		sit.markTraffic()
 		sit.store.Put("keyed.op", "config", sit.published)
@@ -172,6 +174,8 @@
 		sit.store.SetMode(standin.StoreMode(strings.ReplaceAll(args[1], "up", "")))
 	case "deny": // deny DAEMON: the store refuses this daemon's requests from now on
 		sit.daemons[args[1]].denied.Store(true)
+	case "queue": // queue: daemons that are started from now on have a queue
+		sit.queue = true
 	case "daemon": // daemon NAME DOMAIN: starts a daemon
 		sit.startDaemon(args[1], args[2])
 	case "daemons": // daemons COUNT DOMAIN: starts daemons d1, d2 and so on
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -18,6 +18,7 @@
 	"papayacroft/dispatch"
 	"papayacroft/exchange"
 	"papayacroft/retry"
+	"papayacroft/scheduler"
 )
 
 const (
@@ -80,12 +81,21 @@
 	OwnEngines func() map[string]bool
 	// OnWork, if set, is called when a generation was sent to an engine or has ended there; it must not block.
 	OnWork func(endpoint string)
+	// Scheduler, if set, decides which requests wait for capacity and which are refused; see queue.go. The mutex guards it.
+	Scheduler *scheduler.Scheduler
+	// Sharing, if set, returns how the engines are divided between the daemons.
+	Sharing func() Sharing
+	// OnWaiting, if set, is called when the requests that wait have changed; it must not block.
+	OnWaiting func()
 
 	// mutex guards Balancer, Budget, Suspects, Blame, Throttle and Permits.
 	mutex    sync.Mutex
 	inFlight atomic.Int64
 	// waiting is the number of streams that wait for free capacity at an engine.
 	waiting atomic.Int64
+	// queued is the number of requests in the Scheduler's queue, and wakes makes RunQueue look at them.
+	queued atomic.Int64
+	wakes  chan struct{}
 	// drainingSince is the time of the stop signal in Unix nanoseconds; 0 until the signal arrives.
 	drainingSince atomic.Int64
 	// ending is cancelled by End.
@@ -103,7 +113,7 @@
 func NewServer() *Server {
 	bal := dispatch.NewBalancer()
 	ending, endAll := context.WithCancel(context.Background())
-	return &Server{ending: ending, endAll: endAll, Now: time.Now, Balancer: bal, Throttle: bal.Throttle, Budget: dispatch.NewBudget(), Suspects: dispatch.NewSuspects(), Blame: dispatch.NewBlame(), Permits: dispatch.NewPermits(), Metrics: NewMetrics(), streams: newStreams(), beginning: map[*run]bool{}}
+	return &Server{ending: ending, endAll: endAll, Now: time.Now, Balancer: bal, Throttle: bal.Throttle, Budget: dispatch.NewBudget(), Suspects: dispatch.NewSuspects(), Blame: dispatch.NewBlame(), Permits: dispatch.NewPermits(), Metrics: NewMetrics(), streams: newStreams(), beginning: map[*run]bool{}, wakes: make(chan struct{}, 1)}
 }
 
 // InFlight returns the number of requests in flight.
@@ -133,6 +143,11 @@
 	prepaid atomic.Bool
 	// answering is true once the head of a stream was written to the caller.
 	answering atomic.Bool
+	// granted is the turn that a request got in the queue until it is sent, runs the time for which it is expected to
+	// run, and retryAfter the Retry-After of its refusal; 0 without one.
+	granted    *scheduler.Outcome
+	runs       time.Duration
+	retryAfter time.Duration
 	// status is the HTTP status of the answer that was relayed to the caller; 0 if the answer is incomplete.
 	status int
 }
@@ -291,6 +306,7 @@
 func (srv *Server) choose(now time.Time, rqs *request, wrk dispatch.Work, force bool) dispatch.Choice {
 	return srv.decide(now, &dispatch.Request{
 		Service: rqs.service, Work: wrk, Target: rqs.route.Target, Excluded: rqs.excluded, Force: force, Brief: rqs.route.Resumable,
+		Safest: srv.wantsSafest(rqs),
 	})
 }
 
@@ -353,12 +369,14 @@
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
 	srv.Balancer.SetPeerUsage(now, peer, usage)
+	srv.WakeQueue()
 }
 
 func (srv *Server) started(flt *dispatch.Flight) {
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
 	srv.Balancer.Started(flt)
+	srv.WakeQueue()
 }
 
 func (srv *Server) end(flt *dispatch.Flight) {
@@ -368,6 +386,7 @@
 	if flt.Work.Tokens > 0 && srv.OnWork != nil {
 		srv.OnWork(flt.Endpoint)
 	}
+	srv.WakeQueue()
 }
 
 // noteSendError records a failure of the endpoint if it gave no answer. It records none if the caller disconnected or
@@ -410,6 +429,7 @@
 	srv.learnFromAnswer(now, id, ans)
 	if ans.Load != nil {
 		srv.Balancer.Reported(now, id, ans.Load.Running, ans.Load.Waiting)
+		srv.WakeQueue()
 	}
 	if ok {
 		srv.Balancer.Succeeded(now, id)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -53,6 +53,9 @@
 	// firstAt and lastAt are the times of the first and the latest event; pause is the longest gap between two events.
 	firstAt, lastAt time.Time
 	pause           time.Duration
+	// sentAt is when the request was first sent to an engine; complete is true once the stream has ended whole.
+	sentAt   time.Time
+	complete bool
 
 	// mutex guards the fields below, which the relaying and the moving goroutine share.
 	mutex     sync.Mutex
@@ -76,12 +79,13 @@
 	rqs.logger.WithFields(logrus.Fields{"prompt": rqs.PromptTokens, "maxTokens": rqs.MaxTokens, "hint": rqs.LengthHint}).Debug("stream")
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	one := &run{request: rqs, server: srv, cancel: cancel, writer: wri, control: http.NewResponseController(wri), work: expectedWork(rqs)}
+	one := &run{request: rqs, server: srv, cancel: cancel, writer: wri, control: http.NewResponseController(wri), work: srv.expect(rqs)}
 	one.lastEvent = rqs.LastEvent
 	engine := srv.Snapshots.Snapshot().Catalog.Services[rqs.service].Engine
 	one.movable = engine != nil && engine.Moves && !rqs.route.Resumable
 	srv.setBeginning(one, true)
 	defer srv.setBeginning(one, false)
+	defer func() { one.noteEnded(one.complete) }()
 	ref := one.start(ctx)
 	if ref != nil || one.link == nil {
 		return ref
@@ -90,6 +94,7 @@
 	for {
 		err := one.relay(ctx)
 		if err == nil {
+			one.complete = true
 			return nil
 		}
 		if rqs.http.Context().Err() != nil {
@@ -141,6 +146,7 @@
 // tryStart sends the request to one engine and reports whether it should be sent to another.
 func (one *run) tryStart(ctx context.Context, trs *tries) bool {
 	cho := one.awaitEngine(ctx)
+	defer one.server.releaseGranted(one.request)
 	if cho.Endpoint == nil {
 		trs.noEndpoint = cho.String()
 		return false
@@ -196,12 +202,15 @@
 	if fwd.Copy != "" {
 		wrk.Prefill = 0
 	}
+	if one.sentAt.IsZero() {
+		one.sentAt = srv.Now()
+	}
 	out := srv.outgoing(rqs, fwd)
 	if rqs.route.Repeatable() && rqs.sends+1 < rqs.route.Attempts {
 		out.HeadTimeout = time.Duration(headShare * float64(rqs.route.Target))
 		out.GiveUp = srv.giveUp(rqs, edp.ID, wrk)
 	}
-	flt := srv.begin(edp.ID, wrk)
+	flt := srv.beginGranted(rqs, edp.ID, wrk)
 	lnk, err := Open(ctx, edp.Address, out)
 	var sendErr *SendError
 	if errors.As(err, &sendErr) {
--- a/gateway/throttle.go
+++ b/gateway/throttle.go
@@ -60,6 +60,9 @@
 // awaitEndpoint chooses an endpoint for the request and takes a permit for it if it names a limit. If all endpoints are
 // full or get no more requests now, it waits for waitShare of the request's target.
 func (srv *Server) awaitEndpoint(ctx context.Context, rqs *request, wrk dispatch.Work, force bool) dispatch.Choice {
+	if srv.Scheduler != nil {
+		return srv.awaitTurn(ctx, rqs, wrk, force)
+	}
 	until := rqs.begun.Add(time.Duration(waitShare * float64(rqs.route.Target)))
 	for {
 		now := srv.Now()
