Look at waiting requests only after news of less work, and replay shared engines

In the replays all daemons used all engines. Change: SetPeerUsage and SetPeerWaiting start a pass only if something has become less.

--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -51,6 +51,17 @@
 	return float64(sta.own.Prefill) + pending
 }
 
+// Relieves reports whether the usage that another daemon reports is lower at some endpoint than the one it reported before.
+func (bal *Balancer) Relieves(name string, usage map[string]Usage) bool {
+	for id, usg := range usage {
+		old := bal.endpoint(id).peers[name].usage
+		if usg.Flights < old.Flights || usg.Tokens < old.Tokens || usg.Prefill < old.Prefill {
+			return true
+		}
+	}
+	return false
+}
+
 // shortage is what a request lacks at an endpoint, by kind of capacity; values of 0 or less mean that it fits.
 type shortage struct {
 	slots, tokens, prompt float64
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -34,13 +34,19 @@
 	return &Waiting{peers: map[string]peerWaiting{}}
 }
 
-// Set replaces the report of a daemon.
-func (wtg *Waiting) Set(now time.Time, name string, tokens WaitingTokens) {
+// Set replaces the report of a daemon and reports whether less waits there than it said before.
+func (wtg *Waiting) Set(now time.Time, name string, tokens WaitingTokens) (less bool) {
+	for service, old := range wtg.peers[name].tokens {
+		for priority := range old {
+			less = less || tokens[service][priority] < old[priority]
+		}
+	}
 	if len(tokens) == 0 {
 		delete(wtg.peers, name)
-		return
+		return less
 	}
 	wtg.peers[name] = peerWaiting{tokens: tokens, at: now}
+	return less
 }
 
 // Above returns the tokens of a service that wait at peers with a higher priority than the given one, and the least of them that wait
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -346,7 +346,8 @@
 // SetPeerWaiting records the work that waits at another daemon.
 func (srv *Server) SetPeerWaiting(now time.Time, peer string, tokens dispatch.WaitingTokens) {
 	srv.mutex.Lock()
-	srv.Scheduler.Waiting.Set(now, peer, tokens)
-	srv.mutex.Unlock()
-	srv.WakeQueue()
+	defer srv.mutex.Unlock()
+	if srv.Scheduler.Waiting.Set(now, peer, tokens) {
+		srv.WakeQueue()
+	}
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -368,8 +368,10 @@
 func (srv *Server) SetPeerUsage(now time.Time, peer string, usage map[string]dispatch.Usage) {
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
+	if srv.Scheduler != nil && srv.Balancer.Relieves(peer, usage) {
+		srv.WakeQueue()
+	}
 	srv.Balancer.SetPeerUsage(now, peer, usage)
-	srv.WakeQueue()
 }
 
 func (srv *Server) started(flt *dispatch.Flight) {
--- a/scheduler/replay_node_test.go
+++ b/scheduler/replay_node_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"papayacroft/dispatch"
@@ -41,13 +42,13 @@
 }
 
 func (nod *node) view() *View {
-	return &View{Catalog: nod.cat, Fleet: nod.fleet}
+	return &View{Catalog: nod.cat, Fleet: nod.fleet, Preferred: nod.own, Users: nod.users, Shares: nod.shares}
 }
 
 // poll is the rule before the queue.
 func (nod *node) poll(cal *caller, since time.Time, wrk dispatch.Work) {
 	rou := cal.rou
-	cho := nod.bal.Choose(nod.now, nod.rnd, nod.cat, nod.fleet, &dispatch.Request{Service: "pool", Work: wrk, Target: rou.Target, Brief: rou.Brief})
+	cho := nod.bal.Choose(nod.now, nod.rnd, nod.cat, nod.fleet, &dispatch.Request{Service: "pool", Work: wrk, Target: rou.Target, Brief: rou.Brief, Preferred: nod.own})
 	switch {
 	case cho.Endpoint != nil:
 		nod.start(cal, nod.bal.Begin(cho.Endpoint.ID, wrk))
@@ -98,7 +99,7 @@
 func (nod *node) announce() {
 	waiting := nod.sch.WaitingTokens(nod.now)
 	nod.told, nod.toldAt, nod.telling = waiting, nod.now, false
-	nod.tell(func(other *node) { other.sch.Waiting.Set(other.now, nod.name, waiting) })
+	nod.tell(nil, func(other *node) { other.sch.Waiting.Set(other.now, nod.name, waiting) })
 	if at := nod.now; len(waiting) > 0 {
 		nod.after(waitingTime, func() {
 			nod.at(func() {
@@ -110,13 +111,13 @@
 	}
 }
 
-// tell sends a message to the other daemons.
-func (nod *node) tell(apply func(other *node)) {
+// tell sends a message to the other daemons, or to those of them that use an engine.
+func (nod *node) tell(users []string, apply func(other *node)) {
 	if nod.rpl.Silent {
 		return
 	}
 	for _, other := range nod.daemons {
-		if other != nod {
+		if other != nod && (users == nil || slices.Contains(users, other.name)) {
 			nod.after(messageTime, func() {
 				other.at(func() {
 					apply(other)
@@ -130,7 +131,7 @@
 // shareWork tells the other daemons this one's work at an engine and what waits here.
 func (nod *node) shareWork(id string) {
 	usage, waiting := nod.bal.UsageAt(id), nod.sch.WaitingTokens(nod.now)
-	nod.tell(func(other *node) {
+	nod.tell(nod.users[id], func(other *node) {
 		other.sch.Waiting.Set(other.now, nod.name, waiting)
 		other.bal.SetPeerUsage(other.now, nod.name, map[string]dispatch.Usage{id: usage})
 	})
--- a/scheduler/replay_test.go
+++ b/scheduler/replay_test.go
@@ -51,8 +51,10 @@
 type replay struct {
 	Name, Guards     string
 	Daemons, Engines int
-	Organisations    int
-	Lasts            time.Duration
+	// Users is the number of daemons that use each engine; 0 means all.
+	Users         int
+	Organisations int
+	Lasts         time.Duration
 	// Seeds is the number of loads that are replayed; their results are added up.
 	Seeds  int
 	Routes []replayRoute
@@ -103,6 +105,7 @@
 	fleet   catalog.FleetView
 	engines map[string]*modelEngine
 	daemons []*node
+	users   map[string][]string
 	callers []*caller
 	queue   bool
 }
@@ -110,9 +113,12 @@
 // node is a daemon.
 type node struct {
 	*world
-	name    string
-	bal     *dispatch.Balancer
-	sch     *Scheduler
+	name string
+	bal  *dispatch.Balancer
+	sch  *Scheduler
+	// own has the engines that the daemon uses, and shares the part of the engines of the others that it uses, too; nil means all.
+	own     map[string]bool
+	shares  map[string]float64
 	frozen  time.Time
 	passDue time.Time
 	told    dispatch.WaitingTokens
@@ -243,6 +249,7 @@
 		wld.daemons = append(wld.daemons, &node{world: wld, name: fmt.Sprintf("d%02d", i), bal: bal, sch: New(bal)})
 		wld.daemons[i].sch.Name = wld.daemons[i].name
 	}
+	wld.shareEngines()
 	for i := range rpl.Routes {
 		wld.arrivals(&rpl.Routes[i])
 	}
@@ -256,6 +263,37 @@
 	return wld
 }
 
+// shareEngines assigns the engines to their users.
+func (wld *world) shareEngines() {
+	if wld.rpl.Users == 0 {
+		return
+	}
+	var names []string
+	for _, nod := range wld.daemons {
+		names = append(names, nod.name)
+	}
+	wld.users = map[string][]string{}
+	asg := dispatch.NewAssignment(names)
+	count := map[string]float64{}
+	for id := range wld.engines {
+		wld.users[id] = asg.Assigned(id, wld.rpl.Users)
+		for _, name := range wld.users[id] {
+			count[name]++
+		}
+	}
+	for _, nod := range wld.daemons {
+		nod.own, nod.shares = map[string]bool{}, map[string]float64{}
+		for id, users := range wld.users {
+			if nod.own[id] = slices.Contains(users, nod.name); !nod.own[id] {
+				continue
+			}
+			for _, name := range users {
+				nod.shares[name] += 1 / count[name]
+			}
+		}
+	}
+}
+
 // arrivals schedules the requests of a route; both runs of a replay have the same ones.
 func (wld *world) arrivals(rou *replayRoute) {
 	load := rand.New(rand.NewPCG(wld.seed, uint64(rou.Prompt)))
