Serve waiting streams without a target, and drop those that no wait helps

Cause: a stream whose route has no target could go to an engine without any pending prompt only. A stopping daemon named its own backlog as the time to come back, though the caller goes to another one. Reasons of other parts for which no wait helps, such as an evacuation, would have let requests wait. Change: the limit of pending prompts uses a target of a second at least; Retry-After of a stopping daemon is the shortest one; all reasons but full and limited end the wait.

--- a/exchange/backlog.go
+++ b/exchange/backlog.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"papayacroft/dispatch"
+	"papayacroft/retry"
 )
 
 const (
@@ -53,11 +54,11 @@
 		case <-time.After(renew):
 			due = true
 		}
-		sleep(ctx, waitingDelay)
+		retry.Sleep(ctx, waitingDelay)
 		if waiting := exc.Backlog.WaitingTokens(); due || hasMore(waiting, announced) {
 			exc.sendWaiting(ctx, waiting)
 			announced = waiting
-			sleep(ctx, waitingPause)
+			retry.Sleep(ctx, waitingPause)
 		}
 	}
 }
@@ -74,16 +75,6 @@
 	return false
 }
 
-// sleep waits for a time or until the context is cancelled.
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // sendWaiting sends the work that waits here to the daemons that use the same engines.
 func (exc *Exchange) sendWaiting(ctx context.Context, waiting dispatch.WaitingTokens) {
 	msg := &message{Name: exc.Name, Waiting: waiting}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -224,7 +224,8 @@
 			outcomes = append(outcomes, sch.send(now, itm, cho))
 			// The charge of its organisation changes the order.
 			order = sch.Queue.Order(now)
-		case cho.Reason == dispatch.ReasonNoEndpoint:
+		case cho.Reason != dispatch.ReasonFull && cho.Reason != dispatch.ReasonLimited:
+			// No wait helps.
 			out := sch.drop(now, rnd, vew, itm, cho.Reason, false)
 			out.RetryAfter = 0
 			outcomes = append(outcomes, out)
@@ -246,8 +247,8 @@
 func (sch *Scheduler) choose(now time.Time, rnd *rand.Rand, vew *View, tkt *Ticket, heads []*Ticket) (cho dispatch.Choice, isHead bool) {
 	req := &tkt.Request
 	req.Preferred, req.Force = vew.Preferred, false
-	// A request that is late already may wait for other prompts as long as one that is not.
-	left := req.Target
+	// A request that is late already, or has no target, may wait for other prompts as long as one that has just arrived.
+	left := max(req.Target, time.Second)
 	if !tkt.TargetAt.IsZero() && !tkt.item.IsLate(now) {
 		left = tkt.TargetAt.Sub(now)
 	}
@@ -369,7 +370,12 @@
 	tkt := itm.Value.(*Ticket)
 	out := sch.outcome(now, itm, dispatch.Choice{Reason: reason})
 	out.AtOnce = atOnce
-	out.RetryAfter = admission.RetryAfter(rnd, sch.expectedWait(now, vew, tkt), tkt.Deadline.Sub(now))
+	wait := time.Duration(0)
+	if reason != ReasonStopping {
+		// The caller of a daemon that stops comes back to another one, for which this one's backlog says nothing.
+		wait = sch.expectedWait(now, vew, tkt)
+	}
+	out.RetryAfter = admission.RetryAfter(rnd, wait, tkt.Deadline.Sub(now))
 	return out
 }
 
@@ -386,10 +392,7 @@
 	var outcomes []Outcome
 	for _, itm := range sch.Queue.Order(now) {
 		if tkt := itm.Value.(*Ticket); !tkt.Plain {
-			out := sch.drop(now, rnd, vew, itm, ReasonStopping, false)
-			// The caller comes back to another daemon, for which this one's backlog says nothing.
-			out.RetryAfter = admission.RetryAfter(rnd, 0, tkt.Deadline.Sub(now))
-			outcomes = append(outcomes, out)
+			outcomes = append(outcomes, sch.drop(now, rnd, vew, itm, ReasonStopping, false))
 		}
 	}
 	return outcomes
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -154,6 +154,9 @@
 		TargetAt: after(one.Target, 4), Deadline: after(one.Deadline, 39), Runs: time.Duration(max(one.Runs, 0.5) * float64(time.Second)),
 		Request: dispatch.Request{Service: "pool", Target: after(one.Target, 4).Sub(now), Work: dispatch.Work{Tokens: one.Tokens, Prefill: one.Prompt}},
 	}
+	if one.Target < 0 {
+		tkt.TargetAt, tkt.Request.Target = time.Time{}, 0
+	}
 	if one.Runs > 0 {
 		tkt.Runs = time.Duration(one.Runs * float64(time.Second))
 	}
