--- a/dispatch/balancer_test.go
+++ b/dispatch/balancer_test.go
@@ -35,6 +35,7 @@
 		Target          time.Duration
 		Source          string
 		Force, Brief    bool
+		Safest          bool
 	}
 	Want   string
 	Reason Reason
@@ -97,6 +98,7 @@
 	req := Request{
 		Service: service, Work: Work{Tokens: cse.Request.Tokens, Prefill: cse.Request.Prefill}, Target: cse.Request.Target,
 		Source: cse.Request.Source, Force: cse.Request.Force || service == "desk", Brief: cse.Request.Brief,
+		Safest: cse.Request.Safest,
 	}
 	if cse.Preferred != nil {
 		req.Preferred = map[string]bool{}
