Leave a slot beside the urgent requests that wait at each peer

Cause: a request of a lower priority fitted beside the tokens that wait at peers if memory was left, also if it took the last slot. Change: Above counts at least one request for each peer at which work waits.

--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -113,9 +113,9 @@
 	return (both.slots > 0 || both.tokens > 0) && runs > begins || both.prompt > 0 && read > begins
 }
 
-// FitsBeside reports whether a request fits at an engine beside a number of tokens of other requests that are not sent yet, most of
-// which are prompts. target is the lowest target for the first event of all of them.
-func (bal *Balancer) FitsBeside(now time.Time, cat *catalog.Catalog, edp *catalog.Endpoint, req *Request, tokens int, target time.Duration) bool {
+// FitsBeside reports whether a request fits at an engine beside others that are not sent yet. target is the lowest target for the first
+// event of all of them.
+func (bal *Balancer) FitsBeside(now time.Time, cat *catalog.Catalog, edp *catalog.Endpoint, req *Request, others Usage, target time.Duration) bool {
 	engine := cat.Services[edp.Service].Engine
 	if engine == nil {
 		return true
@@ -124,7 +124,7 @@
 	if target > 0 {
 		lowest.Target = min(req.Target, target)
 	}
-	lack := bal.endpoint(edp.ID).shortage(now, edp, engine, &lowest, Usage{Tokens: tokens, Prefill: tokens})
+	lack := bal.endpoint(edp.ID).shortage(now, edp, engine, &lowest, others)
 	return lack.slots <= 0 && lack.tokens <= 0 && lack.prompt <= 0
 }
 
--- a/dispatch/room_test.go
+++ b/dispatch/room_test.go
@@ -49,8 +49,8 @@
 		{testNow, 0, nil, 0, 0}, {testNow, 1, nil, 1000, 1000}, {testNow, 2, nil, 1500, 500}, {testNow, 3, nil, 1800, 500},
 		{testNow, 3, []string{"c"}, 500, 500}, {testNow, 3, []string{}, 0, 0}, {testNow, LatePriority, nil, 1800, 500}, {later, 3, nil, 0, 0},
 	} {
-		if sum, least := wtg.Above(cas.at, "pool", cas.priority, cas.users); sum != cas.sum || least != cas.least {
-			t.Errorf("above priority %d, users %v: got %d, %d; want %d, %d", cas.priority, cas.users, sum, least, cas.sum, cas.least)
+		if sum, least := wtg.Above(cas.at, "pool", cas.priority, cas.users); sum.Tokens != cas.sum || least != cas.least || sum.Flights > 2 || (sum.Flights == 0) != (cas.sum == 0) {
+			t.Errorf("above priority %d, users %v: got %+v, %d; want %d, %d", cas.priority, cas.users, sum, least, cas.sum, cas.least)
 		}
 	}
 	if got, want := wtg.Backlog(testNow, "pool", 1, map[string]float64{"b": 0.25, "c": 0.5}), 500.0; got != want {
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -49,9 +49,9 @@
 	return less
 }
 
-// Above returns the tokens of a service that wait at peers with a higher priority than the given one, and the least of them that wait
-// at one peer, which no single request exceeds there. With users, only the daemons named there count.
-func (wtg *Waiting) Above(now time.Time, service string, priority int, users []string) (sum, least int) {
+// Above returns what waits at peers for a service with a higher priority than the given one, at least one request at each of them, and
+// the least tokens that wait at one peer, which no single request exceeds there. With users, only the daemons named there count.
+func (wtg *Waiting) Above(now time.Time, service string, priority int, users []string) (sum Usage, least int) {
 	for name, per := range wtg.peers {
 		if now.Sub(per.at) >= waitingLifetime || users != nil && !slices.Contains(users, name) {
 			continue
@@ -62,7 +62,13 @@
 				own += tokens
 			}
 		}
-		if sum += own; own > 0 && (least == 0 || own < least) {
+		if own == 0 {
+			continue
+		}
+		sum.Flights++
+		// Most of the tokens of a request are its prompt.
+		sum.Tokens, sum.Prefill = sum.Tokens+own, sum.Prefill+own
+		if least == 0 || own < least {
 			least = own
 		}
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -277,7 +277,7 @@
 func (sch *Scheduler) delaysPeers(now time.Time, vew *View, tkt *Ticket, edp *catalog.Endpoint, users []string) bool {
 	req, priority := &tkt.Request, tkt.priority(now)
 	above, least := sch.Waiting.Above(now, req.Service, priority, users)
-	if above == 0 {
+	if above.Flights == 0 {
 		return false
 	}
 	target := vew.lowestTarget(req.Service, priority)
