Merge the queue of requests for which no endpoint has capacity

In the merge: the queue chooses by learnt speeds and prompt prefixes where they are on, permits for cold endpoints count as before, and work that was counted when a request got its turn is counted anew when it is sent.

--- a/control/control.go
+++ b/control/control.go
@@ -62,6 +62,8 @@
 	OnLeaving func(id string)
 	// OnConfiguration, if set, is called with each configuration that comes into force.
 	OnConfiguration func(cat *catalog.Catalog)
+	// OnEndpoints, if set, is called after each change of the endpoints; it must not block.
+	OnEndpoints func()
 
 	catalog     *catalog.Catalog
 	fleet       *catalog.Fleet
@@ -144,6 +146,9 @@
 	if snp.Fleet.Changes != old.Fleet.Changes {
 		ctl.announceEvacuations(old, snp)
 		ctl.announce(old, snp)
+		if ctl.OnEndpoints != nil {
+			ctl.OnEndpoints()
+		}
 	}
 }
 
--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -84,6 +84,12 @@
 	Preferred map[string]bool
 	// Force makes Choose return the best endpoint even if all are full.
 	Force bool
+	// MaxDelay replaces delayLimit if it is above 0, for requests that have waited.
+	MaxDelay float64
+	// Safest makes the endpoint's share of failures outweigh its load.
+	Safest bool
+	// Veto, if set, reports that an endpoint that is not full must not be chosen because of other waiting requests.
+	Veto func(edp *catalog.Endpoint) bool
 	// Brief marks a request that is expected to end soon; it may fill an engine up to briefLimit.
 	Brief bool
 	// Parts are the parts of the prompt in order; the last one belongs to the request or its session.
@@ -101,6 +107,14 @@
 	return 1
 }
 
+// maxDelay returns the expected time to the first event, as a part of its target, above which an engine is full.
+func (req *Request) maxDelay() float64 {
+	if req.MaxDelay > 0 {
+		return req.MaxDelay
+	}
+	return delayLimit
+}
+
 // Choice is the result of Choose: an endpoint, or the reason why there is none.
 type Choice struct {
 	Endpoint *catalog.Endpoint
@@ -176,6 +190,9 @@
 	Prefixes *Prefixes
 	// Cold knows the endpoints that are cold.
 	Cold *Cold
+	// Serial makes the prompts of all peers at an engine count as computed one after the other, not at the same time; see
+	// pendingSerial. It must be set before the first use.
+	Serial bool
 
 	endpoints map[string]*endpoint
 }
@@ -198,6 +215,8 @@
 	avoidUntil time.Time
 	// pause is the one that the endpoint asked for last.
 	pause pause
+	// serial is Balancer.Serial.
+	serial bool
 }
 
 // peerUsage is the usage that another daemon reported, and when the report was received.
@@ -296,6 +315,9 @@
 		score, full = memoryWeight*use+fct.score(), full || fct.full
 	}
 	score += failureWeight * sta.failureShare(now)
+	if req.Safest {
+		score += safestWeight * sta.failureShare(now)
+	}
 	switch {
 	case req.Source != "" && edp.FailureDomain != req.Source:
 		score += copyPenalty
@@ -305,23 +327,29 @@
 	if now.Before(sta.avoidUntil) {
 		score += unreachablePenalty
 	}
-	return score, full
+	return score, full || req.Veto != nil && req.Veto(edp)
 }
 
 // utilization returns the part of the endpoint's capacity that is in use once the request is added: the greater of the
 // parts of its slots and of its memory. At 1 the endpoint is full.
 func (sta *endpoint) utilization(now time.Time, edp *catalog.Endpoint, engine *catalog.Engine, req *Request) float64 {
-	tokens := sta.own.Tokens
+	flights, tokens := sta.load(now)
+	use := float64(flights+1) / float64(edp.Slots)
+	if engine != nil && engine.CapacityTokens > 0 {
+		use = max(use, float64(tokens+req.Tokens)/(memoryLimit*float64(engine.CapacityTokens)))
+	}
+	return use
+}
+
+// load returns the requests of all daemons at the endpoint, and the memory in tokens that they are expected to need.
+func (sta *endpoint) load(now time.Time) (flights, tokens int) {
+	tokens = sta.own.Tokens
 	for _, per := range sta.peers {
 		if now.Sub(per.at) < peerUsageLifetime {
 			tokens += per.usage.Tokens
 		}
 	}
-	use := float64(sta.flights(now)+1) / float64(edp.Slots)
-	if engine != nil && engine.CapacityTokens > 0 {
-		use = max(use, float64(tokens+req.Tokens)/(memoryLimit*float64(engine.CapacityTokens)))
-	}
-	return use
+	return sta.flights(now), tokens
 }
 
 // firstEventDelay returns the expected time to the first event as a part of its target.
@@ -457,7 +485,7 @@
 func (bal *Balancer) endpoint(id string) *endpoint {
 	sta, ok := bal.endpoints[id]
 	if !ok {
-		sta = &endpoint{}
+		sta = &endpoint{serial: bal.Serial}
 		bal.endpoints[id] = sta
 	}
 	return sta
--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -51,7 +51,7 @@
 func (bal *Balancer) forecast(now time.Time, sta *endpoint, edp *catalog.Endpoint, engine *catalog.Engine, req *Request) Forecast {
 	if !bal.Speeds.Enabled(edp.Service) {
 		delay := sta.firstEventDelay(now, req)
-		return Forecast{delay: delay, full: delay > delayLimit, First: ofSeconds(delay * max(req.Target, minTarget).Seconds())}
+		return Forecast{delay: delay, full: delay > req.maxDelay(), First: ofSeconds(delay * max(req.Target, minTarget).Seconds())}
 	}
 	spd := bal.Speeds.At(now, edp)
 	pending, target := sta.pending(now, spd.PromptRate), max(req.Target, minTarget).Seconds()
@@ -72,7 +72,7 @@
 	}
 	// An engine that has no prompt to read is not full by a learnt rate: after a few slow reads all engines might look full,
 	// and no request would show that they are not.
-	fct.full = fct.delay > delayLimit && (pending > 0 || float64(req.Prefill) > delayLimit*target*prefillTokensPerSecond)
+	fct.full = fct.delay > req.maxDelay() && (pending > 0 || float64(req.Prefill) > req.maxDelay()*target*prefillTokensPerSecond)
 	perEvent := float64(max(1, engine.EventTokens(1)))
 	fct.Pause = anyOf(spd.Late, float64(req.Output)/perEvent)
 	// Streams that are late already are not made late by the prompt.
@@ -104,6 +104,9 @@
 
 // pending returns the prompt tokens that an engine is expected to have left to read, of all daemons' requests.
 func (sta *endpoint) pending(now time.Time, rate float64) float64 {
+	if sta.serial {
+		return sta.pendingSerial(now)
+	}
 	pending := float64(sta.own.Prefill)
 	for _, per := range sta.peers {
 		if age := now.Sub(per.at); age < peerUsageLifetime {
--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -72,6 +72,8 @@
 	grp.Go(func() error { dmn.Control.Run(background); return nil })
 	grp.Go(func() error { dmn.Exchange.Run(background); return nil })
 	grp.Go(func() error { dmn.Prober.Run(background); return nil })
+	grp.Go(func() error { dmn.Server.RunQueue(background); return nil })
+	grp.Go(func() error { dmn.Exchange.RunBacklog(background); return nil })
 	grp.Go(func() error { dmn.Exchange.RunNotices(background); return nil })
 	grp.Go(func() error { dmn.Exchange.RunFetch(background); return nil })
 	for _, tsk := range dmn.Tasks {
@@ -138,6 +140,7 @@
 	srv.AskPermit, srv.OnLimit = dmn.Exchange.AskPermit, dmn.Exchange.ShareLimit
 	srv.IsSteady = dmn.Exchange.IsSteady
 	srv.Balancer.Cold.Overage, srv.Balancer.Cold.Slack = set.Cold.Bound()
+	dmn.buildQueue()
 	dmn.Prober.Name, dmn.Prober.Control, dmn.Prober.Exchange, dmn.Prober.Engines, dmn.Prober.Logger = set.Name, dmn.Control, dmn.Exchange, srv.Engines, dmn.Logger
 	dmn.Exchange.Address = set.PeerAddress
 	dmn.Control.OnLeaving = srv.EndpointLeaves
@@ -154,6 +157,7 @@
 		srv.Throttle.Forget(srv.Now())
 		srv.Permits.Forget(srv.Now())
 		srv.Balancer.Cold.Forget(&snp.Fleet)
+		srv.forgetWaiting()
 	}
 }
 
@@ -191,7 +195,7 @@
 	old := dmn.Settings
 	restart := set.CallerAddress != old.CallerAddress || set.ReadyAddress != old.ReadyAddress ||
 		set.PeerAddress != old.PeerAddress || set.StoreAddress != old.StoreAddress ||
-		set.Prefix != old.Prefix || set.Contracts != old.Contracts || set.Cold != old.Cold ||
+		set.Prefix != old.Prefix || set.Contracts != old.Contracts || set.Queue.Enabled && !old.Queue.Enabled || set.Cold != old.Cold ||
 		set.Intake.Connections != old.Intake.Connections || set.Intake.PeerConnections != old.Intake.PeerConnections
 	dmn.Logger.WithFields(logrus.Fields{"retries": set.Retries, "level": set.Log.Level, "needsRestart": restart}).Info("settings reloaded")
 }
@@ -220,6 +224,7 @@
 	began := time.Now()
 	dmn.Server.drainingSince.Store(began.UnixNano())
 	dmn.Exchange.RequestRound()
+	dmn.Server.StopQueue()
 	dmn.Logger.WithField("inFlight", dmn.Server.InFlight()).Info("draining")
 	dmn.awaitUnready()
 	callers.SetKeepAlivesEnabled(false)
--- a/gateway/prefix.go
+++ b/gateway/prefix.go
@@ -18,21 +18,31 @@
 	return all
 }
 
-// beginPrompt counts a request that is about to be sent to an engine, less the part of its prompt that the engine is
-// expected to hold.
-func (srv *Server) beginPrompt(rqs *request, edp *catalog.Endpoint, wrk dispatch.Work) *dispatch.Flight {
+// beginStream counts a request that is about to be sent to an engine, less the part of its prompt that the engine is
+// expected to hold, and begins to follow its stream. Work that was counted when the request got its turn in the queue is
+// counted anew.
+func (srv *Server) beginStream(rqs *request, edp *catalog.Endpoint, wrk dispatch.Work) (*dispatch.Flight, *dispatch.Watch) {
 	engine := srv.Snapshots.Snapshot().Catalog.Services[rqs.service].Engine
 	srv.mutex.Lock()
-	rdg := srv.Balancer.BeginPrompt(srv.Now(), edp, engine, &dispatch.Request{Service: rqs.service, Work: wrk, Parts: promptParts(rqs.Parts)})
-	srv.mutex.Unlock()
+	defer srv.mutex.Unlock()
+	if rqs.granted != nil {
+		srv.Balancer.End(rqs.granted.Flight)
+		rqs.granted = nil
+	}
+	now := srv.Now()
+	rdg := srv.Balancer.BeginPrompt(now, edp, engine, &dispatch.Request{Service: rqs.service, Work: wrk, Parts: promptParts(rqs.Parts)})
 	if rdg != nil {
 		srv.Metrics.heldTokens.Add(float64(rdg.Held))
 		srv.Metrics.promptTokens.Add(float64(wrk.Prefill))
 		wrk.Prefill -= rdg.Held
 	}
-	flt := srv.begin(edp.ID, wrk)
+	wch := srv.Balancer.Watch(now, edp, wrk)
+	flt := srv.Balancer.Begin(edp.ID, wrk)
 	flt.Reading = rdg
-	return flt
+	if wrk.Tokens > 0 && srv.OnWork != nil {
+		srv.OnWork(edp.ID)
+	}
+	return flt, wch
 }
 
 // promptRead records the first event of a generation: its engine has read the prompt.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -60,6 +60,8 @@
 	// firstAt and lastAt are the times of the first and the latest event; pause is the longest gap between two events.
 	firstAt, lastAt time.Time
 	pause           time.Duration
+	// complete is true once the stream has ended whole.
+	complete bool
 
 	// mutex guards the fields below, which the relaying and the moving goroutine share.
 	mutex     sync.Mutex
@@ -83,12 +85,13 @@
 	rqs.logger.WithFields(logrus.Fields{"prompt": rqs.PromptTokens, "maxTokens": rqs.MaxTokens, "hint": rqs.LengthHint}).Debug("stream")
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	one := &run{request: rqs, server: srv, cancel: cancel, writer: wri, control: http.NewResponseController(wri), work: expectedWork(rqs)}
+	one := &run{request: rqs, server: srv, cancel: cancel, writer: wri, control: http.NewResponseController(wri), work: srv.expect(rqs)}
 	one.lastEvent = rqs.LastEvent
 	engine := srv.Snapshots.Snapshot().Catalog.Services[rqs.service].Engine
 	one.movable = engine != nil && engine.Moves && !rqs.route.Resumable
 	srv.setBeginning(one, true)
 	defer srv.setBeginning(one, false)
+	defer func() { one.noteEnded(one.complete) }()
 	ref := one.start(ctx)
 	if ref != nil || one.link == nil {
 		return ref
@@ -97,6 +100,7 @@
 	for {
 		err := one.relay(ctx)
 		if err == nil {
+			one.complete = true
 			return nil
 		}
 		if rqs.http.Context().Err() != nil {
@@ -148,6 +152,7 @@
 // tryStart sends the request to one engine and reports whether it should be sent to another.
 func (one *run) tryStart(ctx context.Context, trs *tries) bool {
 	cho := one.awaitEngine(ctx)
+	defer one.server.releaseGranted(one.request)
 	if cho.Endpoint == nil {
 		trs.noteChoice(&cho)
 		return false
@@ -209,8 +214,7 @@
 		out.HeadTimeout = time.Duration(headShare * float64(rqs.route.Target))
 		out.GiveUp = srv.giveUp(rqs, edp.ID, wrk)
 	}
-	wch := srv.watch(edp, wrk)
-	flt := srv.beginPrompt(rqs, edp, wrk)
+	flt, wch := srv.beginStream(rqs, edp, wrk)
 	lnk, err := Open(ctx, edp.Address, out)
 	var sendErr *SendError
 	if errors.As(err, &sendErr) {
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -28,13 +28,20 @@
 	MemoryMB int         `yaml:"memoryMB"`
 	Intake   Intake      `yaml:"intake"`
 	Retries  RetryBudget `yaml:"retries"`
-	// Contracts are the words by which the platform asks for further behaviour, separated by commas.
+	// Contracts are the words by which the platform asks for further behaviour, separated by commas; package platform translates
+	// them into settings.
 	Contracts string `yaml:"contracts"`
+	Queue     Queue  `yaml:"queue"`
 	Prefix    Prefix `yaml:"prefix"`
 	Cold      Cold   `yaml:"cold"`
 	Log       Log    `yaml:"log"`
 }
 
+// Queue is the queue of requests for which no endpoint has capacity.
+type Queue struct {
+	Enabled bool `yaml:"enabled"`
+}
+
 // RetryBudget limits how many requests all daemons together send again to another endpoint.
 type RetryBudget struct {
 	// Ratio is the number of retries that each request adds to the budget.
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -40,6 +40,7 @@
 drainNotice: 8s
 memoryMB: 134
 intake: {bodyStall: 5s, readerStall: 5s}
+queue: {enabled: true}
 retries: {ratio: 0.2, extra: 54, window: 10s}
 contracts: "burst,pressure"
 prefix: {enabled: true}
@@ -47,6 +48,9 @@
 	if err := lst.Err(); err != nil {
 		t.Fatal(err)
 	}
+	if !set.Queue.Enabled || set.Contracts != "burst,pressure" {
+		t.Errorf("got queue %t and contracts %q, want true and those of the file", set.Queue.Enabled, set.Contracts)
+	}
 	if got, want := set.Log.Format, "json"; got != want {
 		t.Errorf("got log format %q, want %q", got, want)
 	}
