--- a/gateway/throttle.go
+++ b/gateway/throttle.go
@@ -16,6 +16,9 @@
 	permitLifetime = 500 * time.Millisecond
 	// minDenial is the minimum time for which an endpoint is not asked for again after a denial.
 	minDenial = 20 * time.Millisecond
+	// maxColdAsks limits the permits for a cold endpoint that one request takes and that arrive too late to be used: the daemon
+	// that hands them out is then slow, and each permit is one that another request could have used.
+	maxColdAsks = 3
 	// permitRetry is the time after which permits are asked for again if no daemon hands them out.
 	permitRetry = 100 * time.Millisecond
 	// sourceAnswer and sourcePeer are logged as the source of a limit: an answer to this daemon, or another daemon.
@@ -97,7 +100,7 @@
 // permit reports whether a request may be sent to an endpoint; if the endpoint names a limit or is cold, it takes a permit. With
 // force the request is sent in any case, and counts, unless the endpoint is cold.
 func (srv *Server) permit(ctx context.Context, id string, force bool) bool {
-	for {
+	for asks := 1; ; asks++ {
 		asked := srv.Now()
 		lim, cold := srv.endpointLimit(asked, id)
 		if !lim.Named && cold == 0 {
@@ -110,21 +113,33 @@
 		rep, err := srv.askPermit(ctx, &exchange.PermitRequest{EndpointLimit: lim, Force: force, ColdPerSecond: cold})
 		now := srv.Now()
 		if err == nil && rep.Granted && now.Sub(asked) >= lifetime && ctx.Err() == nil {
-			continue
+			if cold == 0 || asks < maxColdAsks {
+				continue
+			}
+			err = errPermitExpired
 		}
-		srv.mutex.Lock()
-		defer srv.mutex.Unlock()
 		if err != nil {
-			srv.Throttle.Deny(now, id, permitRetry)
-			return force
-		}
-		srv.learnLimit(now, id, fromPeer(now, &rep.EndpointLimit), sourcePeer)
-		srv.learnColdFromPeer(now, &rep.EndpointLimit)
-		if !rep.Granted {
-			srv.Throttle.Deny(now, id, max(minDenial, milliseconds(rep.WaitMS)))
+			rep = nil
 		}
-		return rep.Granted
+		return srv.notePermit(now, id, rep, force)
+	}
+}
+
+// notePermit records the reply to a request for a permit, nil if there was none in time, and reports whether the request may be
+// sent.
+func (srv *Server) notePermit(now time.Time, id string, rep *exchange.PermitReply, force bool) bool {
+	srv.mutex.Lock()
+	defer srv.mutex.Unlock()
+	if rep == nil {
+		srv.Throttle.Deny(now, id, permitRetry)
+		return force
+	}
+	srv.learnLimit(now, id, fromPeer(now, &rep.EndpointLimit), sourcePeer)
+	srv.learnColdFromPeer(now, &rep.EndpointLimit)
+	if !rep.Granted {
+		srv.Throttle.Deny(now, id, max(minDenial, milliseconds(rep.WaitMS)))
 	}
+	return rep.Granted
 }
 
 func (srv *Server) askPermit(ctx context.Context, req *exchange.PermitRequest) (*exchange.PermitReply, error) {
