--- a/intake/gate.go
+++ b/intake/gate.go
@@ -16,7 +16,11 @@
 const (
 	// reserveTime is the longest wait for memory that others are about to release.
 	reserveTime = time.Second
-	reservePoll = 20 * time.Millisecond
+	reservePoll = 50 * time.Millisecond
+	// maxWaiting and maxWaitingLarge limit the requests of any size, and the large ones, that wait for memory at once. Each
+	// looks through all requests again whenever memory is released, so a crowd that waited would take the processor.
+	maxWaiting      = 64
+	maxWaitingLarge = 16
 	// readerStall is the time after which a caller that does not read may be dropped when memory is short.
 	readerStall = time.Second
 	logInterval = time.Second
@@ -56,6 +60,8 @@
 	// freed is closed and replaced when memory is released while a request waits for it.
 	freed   chan struct{}
 	waiting int
+	// searchedAt is when a caller that does not read was last looked for.
+	searchedAt time.Time
 	// logged holds the time of the last log line of each limit, and skipped what was not logged since.
 	logged  map[string]time.Time
 	skipped map[string]int
@@ -133,7 +139,7 @@
 		switch {
 		case verdict == Granted:
 			return nil
-		case verdict == Refused || !now.Before(until):
+		case verdict == Refused || !now.Before(until) || !gat.mayWait(hld, bytes):
 			return ErrMemory
 		case victim == nil:
 			gat.dropReader(now)
@@ -151,8 +157,20 @@
 	}
 }
 
+// mayWait reports whether one more request may wait for memory; the caller holds the mutex.
+func (gat *Gate) mayWait(hld *Holder, bytes int64) bool {
+	if hld.Held()+bytes > smallBytes && hld != &gat.answers {
+		return gat.waiting < maxWaitingLarge
+	}
+	return gat.waiting < maxWaiting
+}
+
 // dropReader drops the caller that has not read its answer for the longest time; the caller holds the mutex.
 func (gat *Gate) dropReader(now time.Time) {
+	if now.Sub(gat.searchedAt) < reservePoll {
+		return
+	}
+	gat.searchedAt = now
 	var worst *Conn
 	oldest := now.Add(-readerStall).UnixNano()
 	for con := range gat.conns {
