--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -418,6 +418,7 @@
 		sta := bal.endpoint(id)
 		pace := usg.Pace
 		usg.Pace = nil
+		usg.Flights, usg.Tokens, usg.Prefill = max(0, usg.Flights), max(0, usg.Tokens), max(0, usg.Prefill)
 		switch {
 		case usg == (Usage{}):
 			delete(sta.peers, name)
--- a/dispatch/prefixplan.go
+++ b/dispatch/prefixplan.go
@@ -16,8 +16,7 @@
 	cacheFreeUse = 0.5
 	// copyWeight is the weight of the tokens of a first part that an engine would read into one more copy, besides the
 	// request's own delay. The engine's time for them is lost to the prompts behind and to the streams beside, and the copy
-	// displaces other parts: they count as much again. In the replay paysWide, engines read 0.92, 0.81, 0.68 and 0.61 of the
-	// tokens with weights of 0, 0.25, 0.5 and 1 (before smallPart, with which it is 0.61 to 0.64).
+	// displaces other parts: they count as much again.
 	copyWeight = 1.0
 	// smallPart is the number of tokens of a first part whose copy costs nothing: they take five steps to read and a
 	// fiftieth of an engine's memory. Requests that share such a part must not gather at its homes.
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -30,8 +30,13 @@
 	// maxPeerWeight limits the weight in tokens of what a peer reports. An engine with 24 slots gives less than 4,000 tokens a
 	// second, so that one daemon's weight stays below 30,000.
 	maxPeerWeight = 100_000
-	// maxSample limits the time per token of one sample in seconds; a longer interval is a stall, not a speed.
+	// minSample and maxSample limit the time per token of one sample in seconds. No engine generates a token in less than
+	// minSample; an interval longer than maxSample is a stall, not a speed.
+	minSample = 0.001
 	maxSample = 0.25
+	// minPromptSample is the number of prompt tokens below which the time to the first event is no sample of the rate at
+	// which an engine reads prompts: the steps of the running streams take most of it.
+	minPromptSample = 500
 )
 
 // average is a weighted mean; the weights of its values decay by a half-life.
@@ -169,7 +174,7 @@
 	if eng.peers == nil {
 		eng.peers = map[string]peerPace{}
 	}
-	eng.peers[peer] = peerPace{perToken: min(pce.Ms/1000, maxSample), weight: weight, at: now.Add(-age)}
+	eng.peers[peer] = peerPace{perToken: min(max(pce.Ms/1000, minSample), maxSample), weight: weight, at: now.Add(-age)}
 	eng.running.add(now, paceHalfLife, float64(running), weight)
 }
 
--- a/dispatch/speed_test.go
+++ b/dispatch/speed_test.go
@@ -231,6 +231,7 @@
 		{`{"flights":2,"pace":{"ms":20,"weight":100,"born":5,"ageMs":-9000000000000000000}}`, true},
 		{`{"flights":2,"pace":{"ms":20,"weight":100,"born":5,"ageMs":9000000000000000000}}`, false},
 		{`{"flights":2,"pace":{"ms":1e308,"weight":1e308,"born":5}}`, true},
+		{`{"flights":2,"pace":{"ms":1e-322,"weight":100,"born":5}}`, true},
 	} {
 		bal := NewBalancer()
 		bal.Speeds.SetStated("pool")
@@ -241,7 +242,7 @@
 		bal.SetPeerUsage(testNow, "two", map[string]Usage{"e": usg})
 		bal.Speeds.Forget(testNow, vew)
 		spd := bal.Speeds.At(testNow, &edp)
-		if spd.Learnt != cse.learnt || !(spd.PerToken > 0 && spd.PerToken <= maxSample) || !(spd.PromptRate > 0) || !(spd.Running >= 0 && spd.Running <= 24) {
+		if spd.Learnt != cse.learnt || !(spd.PerToken > 0 && spd.PerToken <= maxSample) || !(spd.PromptRate > 0 && spd.PromptRate < 1e6) || !(spd.Running >= 0 && spd.Running <= 24) {
 			t.Errorf("%s: got %+v, want learnt %t and possible figures", cse.message, spd, cse.learnt)
 		}
 		if got, want := bal.endpoint("e").flights(testNow), usg.Flights; got != want {
--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -43,7 +43,7 @@
 		return
 	}
 	if wch.events == 0 {
-		if elapsed := now.Sub(wch.sentAt).Seconds(); wch.prompts > 0 && elapsed > 0 {
+		if elapsed := now.Sub(wch.sentAt).Seconds(); wch.prompts >= minPromptSample && elapsed > 0 {
 			eng.perPrompt.add(now, paceHalfLife, elapsed/wch.prompts, wch.prompts)
 		}
 		return
