Hand out permits for cold endpoints slowly after a pause, and count their age from the request

Cause: a review showed that a daemon that was frozen or cut off for more than 5 s goes on at its full rate with a burst beside the one that took its place: 100 permits in 1.1 s for an endpoint that may get 80 (50 a second). A permit could be used 190 ms after it was asked for, while the rate allows for 100 ms. Change: a bucket that was not asked for 4 s hands out half of the rate for 5 s, as a new one does, and a process that was paused is not steady; the age of a permit counts from the request. Result: ownerReturns of TestColdPermits fails without the change; go test ./dispatch, and -race of the scripts of cold endpoints, passed.

--- a/dispatch/cold_test.go
+++ b/dispatch/cold_test.go
@@ -69,8 +69,14 @@
 	Every, Until   time.Duration
 	Idle           struct{ From, To time.Duration }
 	Least          int
+	// Returns is when the first owner hands out permits again, beside the last one for returnOverlap, as if it had always been
+	// the owner.
+	Returns time.Duration
 }
 
+// returnOverlap is the time until all daemons ask a daemon that has come back.
+const returnOverlap = time.Second
+
 // Each case of testdata/cold_permits.yaml asks for permits for a cold endpoint; the bound must hold in every second.
 func TestColdPermits(t *testing.T) {
 	data, err := os.ReadFile("testdata/cold_permits.yaml")
@@ -112,6 +118,9 @@
 		}
 		for i, per := range owners {
 			over := i+1 < len(starts) && at >= starts[i+1]+cse.Overlap
+			if cse.Returns > 0 && at >= cse.Returns {
+				over = i > 0 && (i+1 < len(starts) || at >= cse.Returns+returnOverlap)
+			}
 			if at < starts[i] || over {
 				continue
 			}
--- a/dispatch/permits.go
+++ b/dispatch/permits.go
@@ -14,6 +14,9 @@
 	// before may still be asked by others, which have not noticed yet that this one has taken its place.
 	settleShare = 0.5
 	settleTime  = 5 * time.Second
+	// askedMargin is the time without a request for a permit after which another daemon may hand them out at the full rate: one
+	// that was frozen or cut off does not know that it was replaced. Before, the other one does so at settleShare.
+	askedMargin = settleTime - time.Second
 	// bucketLifetime is how long the state of a limit is kept after the last request for a permit.
 	bucketLifetime = time.Minute
 )
@@ -53,8 +56,11 @@
 // returns false and the time until the next permit if there is none. With steady, this daemon has been the one that hands out
 // the endpoint's permits for settleTime at least.
 func (per *Permits) TakeCold(now time.Time, id string, perSecond float64, cld *Cold, steady bool) (granted bool, wait time.Duration) {
-	if _, known := per.buckets[id]; !known && steady {
+	switch buc, known := per.buckets[id]; {
+	case !known && steady:
 		per.bucket(now.Add(-settleTime), id)
+	case known && now.Sub(buc.usedAt) > askedMargin:
+		buc.restart(now)
 	}
 	buc := per.bucket(now, id)
 	perSecond, burst := cld.rate(perSecond), cld.burst()
@@ -76,6 +82,13 @@
 	return buc
 }
 
+// restart makes a bucket hand out permits as a new one does, unless it does so already.
+func (buc *permitBucket) restart(now time.Time) {
+	if now.Sub(buc.madeAt) >= settleTime {
+		buc.madeAt, buc.limiter = now, nil
+	}
+}
+
 func (buc *permitBucket) take(now time.Time, force bool) (granted bool, wait time.Duration) {
 	rsv := buc.limiter.ReserveN(now, 1)
 	wait = rsv.DelayFrom(now)
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -102,11 +102,13 @@
 
 // permitRequest takes a permit for a request that may be sent to an endpoint, if it needs one.
 func (srv *Server) permitRequest(ctx context.Context, rqs *request, edp *catalog.Endpoint) bool {
-	cold := srv.hasColdRate(edp.Service) && srv.isColdLimited(srv.Now(), edp.ID)
+	asked := srv.Now()
+	cold := srv.hasColdRate(edp.Service) && srv.isColdLimited(asked, edp.ID)
 	granted := srv.permit(ctx, edp.ID, false)
 	rqs.permitAt = time.Time{}
 	if cold {
-		rqs.permitAt = srv.Now()
+		// The daemon that hands out permits counts from some time after this one: the permit is not used later than it assumes.
+		rqs.permitAt = asked
 	}
 	return granted
 }
--- a/gateway/throttle.go
+++ b/gateway/throttle.go
@@ -166,7 +166,9 @@
 	if !lim.Named && cold == 0 {
 		return &exchange.PermitReply{EndpointLimit: lim, Granted: true}
 	}
-	steady := cold > 0 && (srv.IsSteady == nil || srv.IsSteady(dispatch.SteadyTime))
+	// A process that was paused may have been replaced meanwhile without noticing.
+	paused := now.Sub(srv.Snapshots.Snapshot().ResumedAt) < dispatch.SteadyTime
+	steady := cold > 0 && !paused && (srv.IsSteady == nil || srv.IsSteady(dispatch.SteadyTime))
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
 	var granted bool
