--- a/dispatch/cold_test.go
+++ b/dispatch/cold_test.go
@@ -105,6 +105,18 @@
 	}
 }
 
+// isAsked reports whether daemons ask one of the owners, which begin at the given times, for permits at a time.
+func (cse *coldPermitCase) isAsked(at time.Duration, starts []time.Duration, i int) bool {
+	isLast := i+1 == len(starts)
+	switch {
+	case at < starts[i]:
+		return false
+	case cse.Returns > 0 && at >= cse.Returns:
+		return i == 0 || isLast && at < cse.Returns+returnOverlap
+	}
+	return isLast || at < starts[i+1]+cse.Overlap
+}
+
 // take asks for permits and returns the times at which they were granted.
 func (cse *coldPermitCase) take(cld *Cold) (granted []time.Duration) {
 	starts := append([]time.Duration{0}, cse.Owners...)
@@ -117,11 +129,7 @@
 			continue
 		}
 		for i, per := range owners {
-			over := i+1 < len(starts) && at >= starts[i+1]+cse.Overlap
-			if cse.Returns > 0 && at >= cse.Returns {
-				over = i > 0 && (i+1 < len(starts) || at >= cse.Returns+returnOverlap)
-			}
-			if at < starts[i] || over {
+			if !cse.isAsked(at, starts, i) {
 				continue
 			}
 			if ok, _ := per.TakeCold(testNow.Add(at), "e", cse.PerSecond, cld, cse.Steady && i == 0); ok {
