--- a/control/control.go
+++ b/control/control.go
@@ -60,8 +60,6 @@
 	OnTick func(snp *Snapshot)
 	// OnLeaving, if set, is called for each endpoint that leaves after each change of the endpoints and every tickInterval.
 	OnLeaving func(id string)
-	// OnConfiguration, if set, is called with each configuration that comes into force.
-	OnConfiguration func(cat *catalog.Catalog)
 	// OnEndpoints, if set, is called after each change of the endpoints; it must not block.
 	OnEndpoints func()
 
@@ -211,9 +209,6 @@
 	ctl.Logger.WithFields(logrus.Fields{
 		"version": upd.Catalog.Version, "source": upd.Source, "routes": len(upd.Catalog.Routes),
 	}).Info("configuration in force")
-	if ctl.OnConfiguration != nil {
-		ctl.OnConfiguration(upd.Catalog)
-	}
 }
 
 // EndpointUpdate is the input for entries of endpoints in the store.
