Try reads and writes of clients once more after a time-out

Cause: deadlines expire while the process is paused, and fire after it although the data is in the kernel or the socket is writable.

After a time-out, a head, a body and an answer are tried once more with 250 ms. The rest of a head has these 250 ms in all; a body past the time for the whole of it is extended once; the rest of a piece of 64 KB of an answer gets the reader's stall time once more. So the rates of clients stay limited. What the first try wrote is counted. Requests that were dropped, and reads that were ended from outside, are not tried again.

Not measured again with real pauses.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -19,6 +19,9 @@
 	// minBodyRate is the least rate of a body in bytes a second, once bodyGrace has passed.
 	minBodyRate = 16 << 10
 	bodyGrace   = 10 * time.Second
+	// lateTime is the time for a second try after a time-out: deadlines also expire while the process or the machine is
+	// paused, although the client has sent or read meanwhile.
+	lateTime = 250 * time.Millisecond
 	// DefaultStall is the default of Limits.BodyStall and Limits.ReaderStall: callers within a region need milliseconds.
 	DefaultStall = 5 * time.Second
 )
@@ -66,9 +69,11 @@
 	limits *Limits
 	head   head
 	chunks chunks
-	// left is what is left of a body with a length; received is the size of the body so far, since bodyBegan.
+	// left is what is left of a body with a length; received is what has arrived of the body since bodyBegan.
 	left, received int64
 	bodyBegan      time.Time
+	// late is true once a read of this head, or of this body after the time for the whole of it, was tried again.
+	late bool
 	// queue is data that was read but not handed out; its first ready bytes may be.
 	queue []byte
 	ready int
@@ -143,6 +148,7 @@
 	con.gate.reset(&con.holder)
 	con.limits = con.gate.limits.Load()
 	con.head.limit = con.limits.HeadBytes
+	con.late = false
 	hasBegun := len(con.queue) > 0 || con.head.ahead > 0
 	wait := con.limits.IdleTime
 	if hasBegun {
@@ -173,19 +179,72 @@
 // readFirst waits for the first bytes of a head and returns their number and the length of the whole head, 0 if it has
 // not arrived; then the bytes are queued.
 func (con *Conn) readFirst(buf []byte) (count, end int, err error) {
-	if count, err = con.Conn.Read(buf); count == 0 {
+	if count, err = con.readHeadPart(buf); count == 0 {
 		return 0, 0, err
 	}
 	if end, err = con.head.scan(buf[:count]); end > 0 || err != nil {
 		return count, end, err
 	}
 	_ = con.Conn.SetReadDeadline(con.gate.Now().Add(con.limits.HeadTime))
+	con.late = false
 	if con.dropped.Load() {
 		return count, 0, ErrMemory
 	}
 	return count, 0, con.enqueue(buf[:count])
 }
 
+// readHeadPart reads a part of a head. After a time-out it tries once more; the rest of the head then has lateTime in all.
+func (con *Conn) readHeadPart(buf []byte) (int, error) {
+	count, err := con.Conn.Read(buf)
+	if count > 0 || !isTimeout(err) || con.late {
+		return count, err
+	}
+	con.late = true
+	return con.readLate(buf, err)
+}
+
+// readLate reads once more after a time-out, unless the connection was dropped or the deadline set to end the read.
+func (con *Conn) readLate(buf []byte, err error) (int, error) {
+	if con.dropped.Load() || con.outer.Load() == past.UnixNano() {
+		return 0, err
+	}
+	con.readArmed.Store(0)
+	_ = con.Conn.SetReadDeadline(con.gate.Now().Add(lateTime))
+	if con.dropped.Load() {
+		_ = con.Conn.SetReadDeadline(past)
+	}
+	return con.Conn.Read(buf)
+}
+
+// readBodyPart reads a part of a body. After a time-out it tries once more. If the time that the body's size allows, or
+// that was set from outside, has passed by then, it is extended, but only once for each body, so that its rate stays
+// limited.
+func (con *Conn) readBodyPart(buf []byte) (int, error) {
+	con.armRead()
+	count, err := con.Conn.Read(buf)
+	if count > 0 || !isTimeout(err) {
+		return count, err
+	}
+	now, outer := con.gate.Now(), con.outer.Load()
+	isOver := !now.Before(con.bodyLimit()) || outer != 0 && now.UnixNano() >= outer
+	if isOver && con.late {
+		return 0, err
+	}
+	if count, err = con.readLate(buf, err); count > 0 && isOver {
+		con.late = true
+		con.bodyBegan, con.received = now, 0
+		if outer != 0 {
+			con.outer.CompareAndSwap(outer, now.Add(con.limits.BodyStall).UnixNano())
+		}
+	}
+	return count, err
+}
+
+// bodyLimit returns the time until which a body of the size so far must have arrived.
+func (con *Conn) bodyLimit() time.Time {
+	return con.bodyBegan.Add(bodyGrace + time.Duration(con.received)*time.Second/minBodyRate)
+}
+
 // enqueue begins to collect a head.
 func (con *Conn) enqueue(data []byte) error {
 	if err := con.gate.take(&con.holder, int64(max(firstHeadBytes, 2*len(data)))); err != nil {
@@ -205,7 +264,7 @@
 		con.gate.release(&con.holder, int64(size))
 	}
 	size := len(con.queue)
-	count, err := con.Conn.Read(con.queue[size:cap(con.queue)])
+	count, err := con.readHeadPart(con.queue[size:cap(con.queue)])
 	con.queue = con.queue[:size+count]
 	con.holder.Touch(con.gate.Now())
 	if count == 0 && err != nil {
@@ -232,7 +291,7 @@
 	}
 	con.waitingSince.Store(0)
 	con.holder.Touch(con.gate.Now())
-	con.left, con.received, con.chunks = con.head.length, 0, chunks{}
+	con.left, con.received, con.chunks, con.late = con.head.length, 0, chunks{}, false
 	switch {
 	case con.head.framing == framingUnknown:
 		con.state = stateSealed
@@ -259,8 +318,7 @@
 		con.dequeue(count)
 	} else {
 		var err error
-		con.armRead()
-		if count, err = con.Conn.Read(buf); count == 0 {
+		if count, err = con.readBodyPart(buf); count == 0 {
 			return 0, con.bodyError(err)
 		}
 		con.holder.Touch(con.gate.Now())
@@ -321,7 +379,7 @@
 	}
 	con.readArmed.Store(now.UnixNano())
 	until := now.Add(con.gate.limits.Load().BodyStall)
-	if allowed := con.bodyBegan.Add(bodyGrace + time.Duration(con.received)*time.Second/minBodyRate); allowed.Before(until) {
+	if allowed := con.bodyLimit(); allowed.Before(until) {
 		until = allowed
 	}
 	if outer := con.outer.Load(); outer != 0 && outer < until.UnixNano() {
--- a/intake/write.go
+++ b/intake/write.go
@@ -22,12 +22,7 @@
 func (con *Conn) Write(data []byte) (int, error) {
 	total := 0
 	for {
-		piece := data[total:min(len(data), total+writeBytes)]
-		now := con.gate.Now()
-		con.armWrite(now)
-		con.writingSince.Store(now.UnixNano())
-		count, err := con.Conn.Write(piece)
-		con.writingSince.Store(0)
+		count, err := con.writePiece(data[total:min(len(data), total+writeBytes)])
 		total += count
 		if isTimeout(err) {
 			con.gate.note(errRate, con)
@@ -38,6 +33,35 @@
 	}
 }
 
+// writePiece writes one piece. After a time-out it tries once more with lateTime; if that writes a part, the rest of the
+// piece has Limits.ReaderStall again, once, so that the caller's rate stays limited.
+func (con *Conn) writePiece(piece []byte) (int, error) {
+	con.armWrite(con.gate.Now())
+	count, err := con.writeOnce(piece)
+	if !isTimeout(err) || con.writeDropped.Load() {
+		return count, err
+	}
+	con.writeArmed.Store(0)
+	_ = con.Conn.SetWriteDeadline(con.gate.Now().Add(lateTime))
+	if con.writeDropped.Load() {
+		_ = con.Conn.SetWriteDeadline(past)
+	}
+	more, err := con.writeOnce(piece[count:])
+	count += more
+	if !isTimeout(err) || more == 0 || con.writeDropped.Load() {
+		return count, err
+	}
+	con.armWrite(con.gate.Now())
+	more, err = con.writeOnce(piece[count:])
+	return count + more, err
+}
+
+func (con *Conn) writeOnce(piece []byte) (int, error) {
+	con.writingSince.Store(con.gate.Now().UnixNano())
+	defer con.writingSince.Store(0)
+	return con.Conn.Write(piece)
+}
+
 func (con *Conn) armWrite(now time.Time) {
 	if armed := con.writeArmed.Load(); armed == 0 || now.UnixNano()-armed >= int64(armTime) {
 		con.writeArmed.Store(now.UnixNano())
