Close fresh connections after idle ones when too many are open

Cause: a connection without a request was closed before an idle one at any age.

A connection without a request counts as unused only 1 s after it was opened; before that it is closed after stalled and idle ones.

TestPoolOrder fails on the code before (fresh_and_idle, fresh_and_stalled) and passes with it; go test -race ./intake passes.

--- a/intake/listener.go
+++ b/intake/listener.go
@@ -57,12 +57,14 @@
 type class int
 
 const (
-	// classUnused connections have had no request yet.
+	// classUnused connections have had no request for freshTime after they were opened.
 	classUnused class = iota
 	// classStalled connections have a request whose body has made no progress for stalledBody.
 	classStalled
 	// classIdle connections wait for their next request.
 	classIdle
+	// classFresh connections were opened less than freshTime ago and have had no request yet.
+	classFresh
 	// classBusy connections are not closed.
 	classBusy
 )
@@ -70,11 +72,17 @@
 // stalledBody is the time without progress after which a body is no ordinary one.
 const stalledBody = time.Second
 
+// freshTime is the time that a caller has for its first request before its connection counts as unused. Callers within a
+// region need milliseconds.
+const freshTime = time.Second
+
 // rank returns the class of a connection, and since when it is in it, in Unix nanoseconds.
 func (con *Conn) rank(now time.Time) (class, int64) {
 	since := con.waitingSince.Load()
 	progress := con.holder.progress.Load()
 	switch {
+	case since != 0 && !con.served.Load() && now.UnixNano()-since < int64(freshTime):
+		return classFresh, since
 	case since != 0 && !con.served.Load():
 		return classUnused, since
 	case since != 0:
