Count a connection as busy until its answer is written

Cause: a connection counted as idle when the handler returned, before net/http had written the rest of the answer, so that a new connection could close it and its caller got no answer.

It counts as idle when net/http reads the next head, which it does only after the answer was written and the body was read or discarded.

TestAnswerPending fails on the code before and passes with it; go test -race ./intake passes.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -50,8 +50,8 @@
 	holder Holder
 	close  sync.Once
 
-	// waitingSince is when the connection was opened or its last request ended, in Unix nanoseconds; 0 while a request is
-	// served. served is true once a request was served.
+	// waitingSince is when the connection was opened or began to wait for its next request, in Unix nanoseconds; 0 from a
+	// request's head until its answer is written. served is true once a request was served.
 	waitingSince atomic.Int64
 	served       atomic.Bool
 	// reading is true while the body of a request has not arrived whole.
@@ -149,6 +149,7 @@
 	con.limits = con.gate.limits.Load()
 	con.head.limit = con.limits.HeadBytes
 	con.late = false
+	con.setIdle(now)
 	hasBegun := len(con.queue) > 0 || con.head.ahead > 0
 	wait := con.limits.IdleTime
 	if hasBegun {
@@ -420,8 +421,14 @@
 	if con.state != stateBody {
 		con.gate.reset(&con.holder)
 	}
-	con.served.Store(true)
-	con.waitingSince.Store(con.gate.Now().UnixNano())
+}
+
+// setIdle records that the connection waits for its next request, unless it does already. The answer to the last one has
+// been written whole then, because net/http reads the next head only after that.
+func (con *Conn) setIdle(now time.Time) {
+	if con.waitingSince.CompareAndSwap(0, now.UnixNano()) {
+		con.served.Store(true)
+	}
 }
 
 // Close closes the connection.
--- a/intake/gate_test.go
+++ b/intake/gate_test.go
@@ -240,3 +240,25 @@
 	cnt.lines++
 	return len(line), nil
 }
+
+// Guards against closing a connection whose answer has not been written yet for a new one.
+func TestAnswerPending(t *testing.T) {
+	gat := NewGate(1 << 20)
+	con, _ := newPieces([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"), 4096)
+	con.gate = gat
+	con.pool.conns[con] = true
+	if _, err := con.Read(make([]byte, 4096)); err != nil {
+		t.Fatal(err)
+	}
+	con.endRequest()
+	if cls, _ := con.rank(time.Now()); cls != classBusy {
+		t.Errorf("got class %d after the handler, want that of a busy connection", cls)
+	}
+	if _, err := con.Write([]byte("HTTP/1.1 200 OK\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = con.Read(make([]byte, 4096))
+	if cls, _ := con.rank(time.Now()); cls != classIdle {
+		t.Errorf("got class %d while the next request is awaited, want that of an idle connection", cls)
+	}
+}
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -202,5 +202,6 @@
 		_ = one.Conn.SetReadDeadline(time.Time{})
 		one.reading.Store(false)
 		one.endRequest()
+		one.setIdle(gat.Now())
 	}, nil
 }
