Begin no head with blank bytes

Cause: an empty line after a request's body counted as the begin of the next head, so that the idle connection was answered 408 after the time for a head in place of being closed after the idle time.

The time for a head begins with its first byte that is not CR or LF. Blank bytes before it are kept without a reservation; there are four at most.

TestBlankBytesIdle fails on the code before and passes with it; go test -race ./intake passes, and so does FuzzReads for 8 s. Left as it was: an empty line whose first byte net/http has read ahead counts as three bytes of the four.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"sync"
@@ -13,6 +14,8 @@
 	maxHeadBytes = 256 << 10
 	// firstHeadBytes is the first buffer for a head that does not arrive at once.
 	firstHeadBytes = 4 << 10
+	// blankQueue is the first buffer for blank bytes that precede a head; it has room for more than maxBlankBytes.
+	blankQueue = 4 * maxBlankBytes
 	// armTime is the interval at which a deadline is moved: moving it at each read or write would cost more than the
 	// accuracy is worth.
 	armTime = 250 * time.Millisecond
@@ -72,6 +75,8 @@
 	// left is what is left of a body with a length; received is what has arrived of the body since bodyBegan.
 	left, received int64
 	bodyBegan      time.Time
+	// begun is true once a byte of this head arrived that is not blank.
+	begun bool
 	// late is true once a read of this head, or of this body after the time for the whole of it, was tried again.
 	late bool
 	// queue is data that was read but not handed out; its first ready bytes may be.
@@ -150,19 +155,18 @@
 	con.head.limit = con.limits.HeadBytes
 	con.late = false
 	con.setIdle(now)
-	hasBegun := len(con.queue) > 0 || con.head.ahead > 0
-	wait := con.limits.IdleTime
-	if hasBegun {
-		wait = con.limits.HeadTime
+	con.begun = con.head.ahead > con.head.blank
+	_ = con.Conn.SetReadDeadline(now.Add(con.limits.IdleTime))
+	if con.begun {
+		_ = con.Conn.SetReadDeadline(now.Add(con.limits.HeadTime))
 	}
-	_ = con.Conn.SetReadDeadline(now.Add(wait))
+	con.beginHead(con.queue)
 	end, err := con.head.scan(con.queue)
 	if end == 0 && err == nil && len(con.queue) == 0 {
 		var count int
 		if count, end, err = con.readFirst(buf); end > 0 && err == nil {
 			return con.finishHead(buf[:count], end)
 		}
-		hasBegun = hasBegun || count > 0
 	}
 	for end == 0 && err == nil {
 		end, err = con.readMore()
@@ -171,12 +175,22 @@
 		err = con.beginRequest()
 	}
 	if err != nil {
-		return con.refuseHead(buf, err, hasBegun)
+		return con.refuseHead(buf, err)
 	}
 	con.ready = end
 	return con.handOut(buf), nil
 }
 
+// beginHead sets the deadline of a head when its first byte arrives. Blank bytes before it begin no head: some callers end
+// a body with an empty line.
+func (con *Conn) beginHead(data []byte) {
+	if con.begun || len(bytes.Trim(data, "\r\n")) == 0 {
+		return
+	}
+	con.begun, con.late = true, false
+	_ = con.Conn.SetReadDeadline(con.gate.Now().Add(con.limits.HeadTime))
+}
+
 // readFirst waits for the first bytes of a head and returns their number and the length of the whole head, 0 if it has
 // not arrived; then the bytes are queued.
 func (con *Conn) readFirst(buf []byte) (count, end int, err error) {
@@ -186,8 +200,7 @@
 	if end, err = con.head.scan(buf[:count]); end > 0 || err != nil {
 		return count, end, err
 	}
-	_ = con.Conn.SetReadDeadline(con.gate.Now().Add(con.limits.HeadTime))
-	con.late = false
+	con.beginHead(buf[:count])
 	if con.dropped.Load() {
 		return count, 0, ErrMemory
 	}
@@ -246,8 +259,12 @@
 	return con.bodyBegan.Add(bodyGrace + time.Duration(con.received)*time.Second/minBodyRate)
 }
 
-// enqueue begins to collect a head.
+// enqueue begins to collect a head. The few blank bytes before one need no reservation.
 func (con *Conn) enqueue(data []byte) error {
+	if !con.begun {
+		con.queue = append(make([]byte, 0, blankQueue), data...)
+		return nil
+	}
 	if err := con.gate.take(&con.holder, int64(max(firstHeadBytes, 2*len(data)))); err != nil {
 		return err
 	}
@@ -258,15 +275,17 @@
 // readMore reads more of a head into the queue.
 func (con *Conn) readMore() (int, error) {
 	if size := len(con.queue); size == cap(con.queue) {
-		if err := con.gate.take(&con.holder, int64(2*size)); err != nil {
+		grown := max(firstHeadBytes, 2*size)
+		if err := con.gate.take(&con.holder, int64(grown)); err != nil {
 			return 0, err
 		}
-		con.queue = append(make([]byte, 0, 2*size), con.queue...)
+		con.queue = append(make([]byte, 0, grown), con.queue...)
 		con.gate.release(&con.holder, int64(size))
 	}
 	size := len(con.queue)
 	count, err := con.readHeadPart(con.queue[size:cap(con.queue)])
 	con.queue = con.queue[:size+count]
+	con.beginHead(con.queue)
 	con.holder.Touch(con.gate.Now())
 	if count == 0 && err != nil {
 		return 0, err
@@ -277,7 +296,7 @@
 // finishHead hands out a head that arrived in one piece, with what has arrived of its body.
 func (con *Conn) finishHead(data []byte, end int) (int, error) {
 	if err := con.beginRequest(); err != nil {
-		return con.refuseHead(data, err, true)
+		return con.refuseHead(data, err)
 	}
 	if con.state == stateSealed || len(data) == end {
 		return end, nil
--- a/intake/late_test.go
+++ b/intake/late_test.go
@@ -148,3 +148,59 @@
 		t.Errorf("dropped: got %d bytes, error %v after %d writes; want an error after one", count, err, lat.writeCount)
 	}
 }
+
+// Guards against idle connections whose callers end a body with an empty line, and which are answered 408 after the time
+// for a head; and against heads that begin with an empty line and have the time of an idle connection.
+func TestBlankBytesIdle(t *testing.T) {
+	for _, cse := range []struct{ rest, want string }{
+		{"", ""}, {"\r\n", ""}, {"\n", ""}, {"\r\n\r\n", ""}, {"\r\nG", "HTTP/1.1 408"}, {"G", "HTTP/1.1 408"},
+	} {
+		for _, size := range []int{1, 2, 3, 5, 4096} {
+			if got, wait := readSilent(t, cse.rest, size, false); got != cse.want || (wait > time.Minute) != (cse.want == "") {
+				t.Errorf("%q, pieces of %d: got answer %q and a deadline in %s, want %q and more than a minute %t", cse.rest, size, got, wait, cse.want, cse.want == "")
+			}
+			// The line whose first byte was read ahead counts as three bytes, so two such lines exceed maxBlankBytes. The
+			// deadline is not compared, because that of a byte that is read ahead is not the gate's.
+			if got, _ := readSilent(t, cse.rest, size, true); got != cse.want && cse.rest != "\r\n\r\n" {
+				t.Errorf("%q, pieces of %d, read ahead: got answer %q, want %q", cse.rest, size, got, cse.want)
+			}
+		}
+	}
+}
+
+// readSilent reads a request, with bytes behind it and then nothing. It returns the beginning of the connection's own answer
+// and the time until the deadline of the first read that timed out.
+func readSilent(t *testing.T, rest string, size int, ahead bool) (string, time.Duration) {
+	t.Helper()
+	con, pcs := newPieces([]byte("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"+rest), size)
+	sil := &silent{pieces: pcs}
+	con.Conn = sil
+	if got, _ := readRequests(con, ahead); len(got) != 1 {
+		t.Errorf("%q, pieces of %d, ahead %t: got requests %q, want one", rest, size, ahead, got)
+	}
+	answer := pcs.written.String()
+	return answer[:min(len(answer), len("HTTP/1.1 408"))], sil.wait
+}
+
+// silent is a connection whose client sends no more after its data; its reads time out then.
+type silent struct {
+	*pieces
+	until time.Time
+	// wait is the time until the deadline of the first read that times out.
+	wait time.Duration
+}
+
+func (sil *silent) SetReadDeadline(until time.Time) error {
+	sil.until = until
+	return nil
+}
+
+func (sil *silent) Read(buf []byte) (int, error) {
+	if count, _ := sil.pieces.Read(buf); count > 0 {
+		return count, nil
+	}
+	if sil.wait == 0 {
+		sil.wait = time.Until(sil.until)
+	}
+	return 0, os.ErrDeadlineExceeded
+}
--- a/intake/write.go
+++ b/intake/write.go
@@ -96,12 +96,12 @@
 
 // refuseHead answers a request whose head was not handed out, and ends the connection. The error is io.EOF, to which
 // net/http adds no answer of its own.
-func (con *Conn) refuseHead(buf []byte, err error, hasBegun bool) (int, error) {
+func (con *Conn) refuseHead(buf []byte, err error) (int, error) {
 	con.err = err
 	switch {
 	case con.dropped.Load():
 		con.err = ErrMemory
-	case isTimeout(err) && hasBegun:
+	case isTimeout(err) && con.begun:
 		con.err = errHeadTime
 	case isTimeout(err):
 		con.err = io.EOF
