Begin times without progress again after a gap in the process's time

Cause: progress is noted only when the process reads. One that was paused, or got no processor, for 0.5 s and more took ordinary uploads for stalled ones when memory was short, and dropped them, callers that read their answers, and new connections.

While connections are open, the gate notes the time every 100 ms. A gap of over 250 ms begins all these times again: of large and small requests in the budget, of readers, and of bodies and new connections at the limit of connections.

In a trial on a scratch copy with a gap of an hour, the case pause of TestBudget and TestPause fail (the code before has no notes to test); with 250 ms they pass, and so does go test -race ./intake. Not measured with real pauses.

--- a/intake/budget.go
+++ b/intake/budget.go
@@ -20,6 +20,8 @@
 	// slowBytes is the number of bytes a second below which a large request counts as slow; a body of 4 MiB at this rate
 	// takes longer than the gateway's limit of 10 s.
 	slowBytes = 256 << 10
+	// maxGap is the longest time between two notes of the time for which the process counts as running.
+	maxGap = 250 * time.Millisecond
 )
 
 // Verdict is the answer to a request for memory.
@@ -59,32 +61,21 @@
 	hld.progress.Store(now.UnixNano())
 }
 
-// stalled returns the time without progress.
-func (hld *Holder) stalled(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, max(hld.progress.Load(), hld.began.UnixNano())))
-}
-
-// isSlow reports whether the request stands still or arrives too slowly.
-func (hld *Holder) isSlow(now time.Time) bool {
-	if hld.stalled(now) >= stalledTime {
-		return true
-	}
-	elapsed := now.Sub(hld.began)
-	return elapsed >= 2*stalledTime && float64(hld.held) < slowBytes*elapsed.Seconds()
-}
-
 // Budget is the memory that all requests of a process may hold. Its methods are not safe for concurrent use.
 type Budget struct {
 	Limit int64
 
 	used int64
+	// noted is when the time was last noted, zero if it is not; resumed is when the process ran again after it was paused or
+	// got no processor.
+	noted, resumed time.Time
 	// tracked are the holders of more than trackedBytes.
 	tracked map[*Holder]bool
 }
 
 // NewBudget returns a budget with a limit in bytes.
 func NewBudget(limit int64) *Budget {
-	return &Budget{Limit: limit, tracked: map[*Holder]bool{}}
+	return &Budget{Limit: limit, resumed: time.Unix(0, 0), tracked: map[*Holder]bool{}}
 }
 
 // Used returns the reserved bytes.
@@ -92,9 +83,51 @@
 	return bud.used
 }
 
+// Note notes the time. If it is called regularly, a gap of over maxGap shows that the process was paused or got no
+// processor; what clients sent or read meanwhile was not seen, so all times without progress begin again.
+func (bud *Budget) Note(now time.Time) {
+	if !bud.noted.IsZero() && now.Sub(bud.noted) > maxGap {
+		bud.resumed = now
+	}
+	if now.After(bud.noted) {
+		bud.noted = now
+	}
+}
+
+// Unnote ends the notes: the time until the next one is no gap.
+func (bud *Budget) Unnote() {
+	bud.noted = time.Time{}
+}
+
+// Resumed returns when the process last ran again after a gap. It looks for a gap up to now.
+func (bud *Budget) Resumed(now time.Time) time.Time {
+	if !bud.noted.IsZero() {
+		bud.Note(now)
+	}
+	return bud.resumed
+}
+
+// stalled returns the time without progress.
+func (bud *Budget) stalled(now time.Time, hld *Holder) time.Duration {
+	return now.Sub(time.Unix(0, max(hld.progress.Load(), hld.began.UnixNano(), bud.resumed.UnixNano())))
+}
+
+// isSlow reports whether the request stands still or arrives too slowly.
+func (bud *Budget) isSlow(now time.Time, hld *Holder) bool {
+	if bud.stalled(now, hld) >= stalledTime {
+		return true
+	}
+	elapsed := now.Sub(hld.began)
+	if bud.resumed.After(hld.began) {
+		elapsed = now.Sub(bud.resumed)
+	}
+	return elapsed >= 2*stalledTime && float64(hld.held) < slowBytes*elapsed.Seconds()
+}
+
 // Take reserves bytes. If they are not free, it returns Wait and, if a request is to be dropped for them, that request:
 // of the slow ones, the one whose size times its time without progress is the largest.
 func (bud *Budget) Take(now time.Time, hld *Holder, bytes int64) (Verdict, *Holder) {
+	bud.Resumed(now)
 	if hld.dropped {
 		return Refused, nil
 	}
@@ -126,10 +159,10 @@
 		case one.dropped:
 			leaving += one.held
 		case one.kept || one == hld:
-		case one.held > smallBytes && one.isSlow(now):
-			large.replace(now, one)
-		case isSmall && one.stalled(now) >= smallStalledTime:
-			small.replace(now, one)
+		case one.held > smallBytes && bud.isSlow(now, one):
+			large.replace(one, bud.stalled(now, one))
+		case isSmall && bud.stalled(now, one) >= smallStalledTime:
+			small.replace(one, bud.stalled(now, one))
 		}
 	}
 	if large.holder != nil {
@@ -145,8 +178,8 @@
 }
 
 // replace replaces the candidate by a request that costs more.
-func (cnd *candidate) replace(now time.Time, hld *Holder) {
-	cost := float64(hld.held) * max(hld.stalled(now), time.Millisecond).Seconds()
+func (cnd *candidate) replace(hld *Holder, stalled time.Duration) {
+	cost := float64(hld.held) * max(stalled, time.Millisecond).Seconds()
 	if cost > cnd.cost {
 		cnd.holder, cnd.cost = hld, cost
 	}
--- a/intake/budget_test.go
+++ b/intake/budget_test.go
@@ -22,6 +22,8 @@
 		Drop string
 		// Touch, Keep and Leave are those whose bytes arrive, that are whole, and that return everything.
 		Touch, Keep, Leave []string
+		// Note is true if the time is noted before.
+		Note bool
 	}
 }
 
@@ -59,6 +61,9 @@
 	}
 	for number, stp := range cse.Steps {
 		now := start.Add(stp.At)
+		if stp.Note {
+			bud.Note(now)
+		}
 		for _, name := range stp.Touch {
 			holder(name).Touch(now)
 		}
--- a/intake/gate.go
+++ b/intake/gate.go
@@ -24,6 +24,8 @@
 	// readerStall is the time after which a caller that does not read may be dropped when memory is short.
 	readerStall = time.Second
 	logInterval = time.Second
+	// noteInterval is the interval at which the time is noted while connections are open.
+	noteInterval = 100 * time.Millisecond
 )
 
 // Limits are the limits of a process's callers; a configuration or a reload may change them at any time.
@@ -57,6 +59,8 @@
 	// answers holds the memory of Reserve.
 	answers Holder
 	conns   map[*Conn]bool
+	// noting is true while noteTime runs regularly.
+	noting bool
 	// freed is closed and replaced when memory is released while a request waits for it.
 	freed   chan struct{}
 	waiting int
@@ -173,6 +177,10 @@
 	gat.searchedAt = now
 	var worst *Conn
 	oldest := now.Add(-readerStall).UnixNano()
+	if gat.budget.Resumed(now).UnixNano() > oldest {
+		// What callers read during a pause of the process is not known.
+		return
+	}
 	for con := range gat.conns {
 		if since := con.writingSince.Load(); since != 0 && since < oldest {
 			worst, oldest = con, since
@@ -211,6 +219,37 @@
 	gat.wake()
 }
 
+// open adds a connection.
+func (gat *Gate) open(con *Conn) {
+	gat.mutex.Lock()
+	defer gat.mutex.Unlock()
+	gat.conns[con] = true
+	if !gat.noting {
+		gat.noting = true
+		gat.budget.Note(gat.Now())
+		time.AfterFunc(noteInterval, gat.noteTime)
+	}
+}
+
+// noteTime notes the time regularly until no connection is open.
+func (gat *Gate) noteTime() {
+	gat.mutex.Lock()
+	defer gat.mutex.Unlock()
+	if gat.noting = len(gat.conns) > 0; !gat.noting {
+		gat.budget.Unnote()
+		return
+	}
+	gat.budget.Note(gat.Now())
+	time.AfterFunc(noteInterval, gat.noteTime)
+}
+
+// resumed returns when the process last ran again after a gap.
+func (gat *Gate) resumed(now time.Time) time.Time {
+	gat.mutex.Lock()
+	defer gat.mutex.Unlock()
+	return gat.budget.Resumed(now)
+}
+
 // wake wakes the requests that wait for memory; the caller holds the mutex.
 func (gat *Gate) wake() {
 	if gat.waiting > 0 {
--- a/intake/gate_test.go
+++ b/intake/gate_test.go
@@ -251,14 +251,83 @@
 		t.Fatal(err)
 	}
 	con.endRequest()
-	if cls, _ := con.rank(time.Now()); cls != classBusy {
+	if cls, _ := con.rank(time.Now(), time.Unix(0, 0)); cls != classBusy {
 		t.Errorf("got class %d after the handler, want that of a busy connection", cls)
 	}
 	if _, err := con.Write([]byte("HTTP/1.1 200 OK\r\n\r\n")); err != nil {
 		t.Fatal(err)
 	}
 	_, _ = con.Read(make([]byte, 4096))
-	if cls, _ := con.rank(time.Now()); cls != classIdle {
+	if cls, _ := con.rank(time.Now(), time.Unix(0, 0)); cls != classIdle {
 		t.Errorf("got class %d while the next request is awaited, want that of an idle connection", cls)
 	}
 }
+
+// Guards against closing callers' connections after a pause of the process, during which what they sent and read was not
+// seen.
+func TestPause(t *testing.T) {
+	now := time.Unix(1000, 0)
+	gat := NewGate(1 << 20)
+	gat.Now = func() time.Time { return now }
+	conns := map[string]*Conn{}
+	for _, name := range []string{"fresh", "body", "reader"} {
+		con, _ := newPieces(nil, 1)
+		con.gate, con.pool.gate, con.pool.most = gat, gat, 0
+		con.waitingSince.Store(0)
+		conns[name], con.pool.conns[con], gat.conns[con] = con, true, true
+	}
+	conns["fresh"].waitingSince.Store(now.UnixNano())
+	conns["body"].reading.Store(true)
+	conns["body"].holder.Touch(now)
+	conns["reader"].writingSince.Store(now.UnixNano())
+	check := func(at string, fresh, body class, isDropped bool) {
+		t.Helper()
+		gat.mutex.Lock()
+		gat.dropReader(now)
+		gat.mutex.Unlock()
+		for name, want := range map[string]class{"fresh": fresh, "body": body} {
+			if got, _ := conns[name].rank(now, gat.resumed(now)); got != want {
+				t.Errorf("%s: got class %d of %s, want %d", at, got, name, want)
+			}
+		}
+		if got := conns["reader"].writeDropped.Load(); got != isDropped {
+			t.Errorf("%s: got reader dropped %t, want %t", at, got, isDropped)
+		}
+	}
+	gat.budget.Note(now)
+	now = now.Add(6 * time.Second)
+	check("after the pause", classFresh, classBusy, false)
+	for range 10 {
+		now = now.Add(200 * time.Millisecond)
+		gat.budget.Note(now)
+	}
+	check("2 s later", classUnused, classStalled, true)
+}
+
+// Guards against a gate that notes no time while connections are open, so that it takes each pause between two decisions
+// for one of the process, or that goes on after the last.
+func TestNoteTime(t *testing.T) {
+	gat := NewGate(1 << 20)
+	address := startServer(t, gat, 3, http.HandlerFunc(echo))
+	isNoting := func() bool {
+		gat.mutex.Lock()
+		defer gat.mutex.Unlock()
+		return gat.noting && !gat.budget.noted.IsZero()
+	}
+	con, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	await(t, isNoting)
+	_ = con.Close()
+	await(t, func() bool { return !isNoting() })
+}
+
+func await(t *testing.T, done func() bool) {
+	t.Helper()
+	for until := time.Now().Add(20 * time.Second); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("got no change within 20 s")
+		}
+	}
+}
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -33,6 +33,7 @@
 // add adds a connection and returns the one that must be closed for it, which is the new one if all others have requests
 // that make progress.
 func (pol *pool) add(now time.Time, con *Conn) *Conn {
+	resumed := pol.gate.resumed(now)
 	pol.mutex.Lock()
 	defer pol.mutex.Unlock()
 	if len(pol.conns) < pol.most {
@@ -41,7 +42,7 @@
 	}
 	victim, lowest, oldest := con, classBusy, int64(0)
 	for one := range pol.conns {
-		cls, since := one.rank(now)
+		cls, since := one.rank(now, resumed)
 		if cls < lowest || cls == lowest && cls != classBusy && since < oldest {
 			victim, lowest, oldest = one, cls, since
 		}
@@ -76,18 +77,22 @@
 // region need milliseconds.
 const freshTime = time.Second
 
-// rank returns the class of a connection, and since when it is in it, in Unix nanoseconds.
-func (con *Conn) rank(now time.Time) (class, int64) {
+// rank returns the class of a connection, and since when it is in it, in Unix nanoseconds. Times without a request or
+// progress begin again when the process resumed.
+func (con *Conn) rank(now, resumed time.Time) (class, int64) {
 	since := con.waitingSince.Load()
 	progress := con.holder.progress.Load()
+	lasts := func(from int64, least time.Duration) bool {
+		return now.UnixNano()-max(from, resumed.UnixNano()) >= int64(least)
+	}
 	switch {
-	case since != 0 && !con.served.Load() && now.UnixNano()-since < int64(freshTime):
-		return classFresh, since
-	case since != 0 && !con.served.Load():
+	case since != 0 && con.served.Load():
+		return classIdle, since
+	case since != 0 && lasts(since, freshTime):
 		return classUnused, since
 	case since != 0:
-		return classIdle, since
-	case con.reading.Load() && now.UnixNano()-progress >= int64(stalledBody):
+		return classFresh, since
+	case con.reading.Load() && lasts(progress, stalledBody):
 		return classStalled, progress
 	}
 	return classBusy, 0
@@ -132,9 +137,7 @@
 			return nil, err
 		}
 		con := newConn(gat, lis.pool, lis.raw, raw)
-		gat.mutex.Lock()
-		gat.conns[con] = true
-		gat.mutex.Unlock()
+		gat.open(con)
 		victim := lis.pool.add(gat.Now(), con)
 		if victim != nil {
 			gat.noteLimit(limitConnections, errConnections, victim)
