Raise the minimum of intake.memoryMB to 16

Cause: with 8 or 9, a chunked body of exactly 4 MiB was refused for ever: its buffer needs 8 MiB and a byte while it grows, and large requests may use seven eighths of the budget. With an answer of 4 MiB beside a body, 12 MiB may be needed. The comment on the pauses of entry daemons now says only the reason.

--- a/settings/intake.go
+++ b/settings/intake.go
@@ -23,12 +23,13 @@
 const (
 	defaultBodyStall   = 5 * time.Second
 	defaultReaderStall = 5 * time.Second
-	// An entry daemon's callers may resume a stream, and have had 30 s for a write so far.
+	// Callers of an entry daemon rely on 30 s for a write of a stream: a slower reader is disconnected and has to resume.
 	entryBodyStall   = 10 * time.Second
 	entryReaderStall = 30 * time.Second
 	maxStall         = 10 * time.Minute
-	// minIntakeMB holds one body of 4 MiB while it grows.
-	minIntakeMB = 8
+	// minIntakeMB holds a body of 4 MiB and an answer of 4 MiB in a buffer that grows to twice its size, 12 MiB, within the
+	// seven eighths of the budget that large requests may use.
+	minIntakeMB = 16
 	// maxIntakeShare is the part of a daemon's memory, as a divisor, that requests may hold: the Go runtime collects
 	// garbage all the time from 0.6 of the memory on.
 	maxIntakeShare = 2
