Reserve an eighth of the budget for messages of peers

Cause: messages of other daemons took their memory from the same budget as callers, so callers that used it up made the gate refuse these messages and end the connections between daemons.

Callers leave an eighth of the budget to peers, which may also use what callers leave. The eighth that only small requests use is now one of the rest, so large requests of callers have 49 of 64 parts: 12.25 MiB of the least budget. A peer's message within the reserve is not dropped for callers, which could not use its memory.

--- a/intake/budget.go
+++ b/intake/budget.go
@@ -13,7 +13,7 @@
 	// smallStalledTime is the time without progress after which a small request is no ordinary one: small requests may drop
 	// it if there is no large one to drop.
 	smallStalledTime = time.Second
-	// keptShare is the fraction of the budget that only small requests use, as a divisor.
+	// keptShare is the fraction of the budget, without the reserve of peers, that only small requests use, as a divisor.
 	keptShare = 8
 	// stalledTime is the time without progress after which a large request may be dropped.
 	stalledTime = 500 * time.Millisecond
@@ -41,6 +41,8 @@
 type Holder struct {
 	// Drop ends the request; it must not block. A holder without it is never dropped.
 	Drop func()
+	// Peer is true for messages of other daemons.
+	Peer bool
 
 	// began is when the request began to hold memory, and progress when its last byte arrived, in Unix nanoseconds.
 	began    time.Time
@@ -64,8 +66,11 @@
 // Budget is the memory that all requests of a process may hold. Its methods are not safe for concurrent use.
 type Budget struct {
 	Limit int64
+	// PeerReserve is the part of Limit that only peers use.
+	PeerReserve int64
 
-	used int64
+	// used is what all holders have, usedByPeers what peers have of it.
+	used, usedByPeers int64
 	// noted is when the time was last noted, zero if it is not; resumed is when the process ran again after it was paused or
 	// got no processor.
 	noted, resumed time.Time
@@ -134,28 +139,43 @@
 	if hld.held == 0 {
 		hld.began = now
 	}
-	limit := bud.Limit
-	if hld.held+bytes > smallBytes {
-		limit -= limit / keptShare
-	}
-	if bud.used+bytes <= limit {
+	isSmall := hld.held+bytes <= smallBytes
+	excess := bud.excess(hld.Peer, isSmall) + bytes
+	if excess <= 0 || hld.Peer && bud.usedByPeers+bytes <= bud.PeerReserve {
 		bud.change(hld, bytes)
 		return Granted, nil
 	}
-	leaving, worst := bud.worst(now, hld, hld.held+bytes <= smallBytes)
-	if worst == nil || bud.used+bytes-leaving <= limit {
+	leaving, worst := bud.worst(now, hld, isSmall)
+	if worst == nil || excess <= leaving {
 		return Wait, nil
 	}
 	worst.dropped = true
 	return Wait, worst
 }
 
+// excess returns by how much the reserved bytes exceed what a request of a caller or a message of a peer may use; it is
+// negative if bytes are free. For callers, the reserve of peers counts as used.
+func (bud *Budget) excess(isPeer, isSmall bool) int64 {
+	used, shared := bud.used, bud.Limit
+	if !isPeer {
+		used += max(0, bud.PeerReserve-bud.usedByPeers)
+		shared -= bud.PeerReserve
+	}
+	if isSmall {
+		return used - bud.Limit
+	}
+	return used - (bud.Limit - shared/keptShare)
+}
+
 // worst returns the request that is dropped first for another one, and the bytes of those that were dropped already. For a
 // small request it may be a small one, if there is no large one.
 func (bud *Budget) worst(now time.Time, hld *Holder, isSmall bool) (leaving int64, worst *Holder) {
 	large, small := candidate{}, candidate{}
+	isReserve := !hld.Peer && bud.usedByPeers <= bud.PeerReserve
 	for one := range bud.tracked {
 		switch {
+		case one.Peer && isReserve:
+			// Its memory would go to peers only.
 		case one.dropped:
 			leaving += one.held
 		case one.kept || one == hld:
@@ -204,6 +224,9 @@
 
 func (bud *Budget) change(hld *Holder, bytes int64) {
 	bud.used += bytes
+	if hld.Peer {
+		bud.usedByPeers += bytes
+	}
 	hld.held += bytes
 	if hld.Drop != nil && hld.held > trackedBytes {
 		bud.tracked[hld] = true
--- a/intake/budget_test.go
+++ b/intake/budget_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,8 +13,9 @@
 // budgetCase is a sequence of steps on one budget.
 type budgetCase struct {
 	Name, Guards string
-	Limit        int64
-	Steps        []struct {
+	// Reserve is that of peers, which are all whose names begin with "peer".
+	Limit, Reserve int64
+	Steps          []struct {
 		At time.Duration
 		// Take is the number of bytes that Who takes, Want the verdict, and Drop who is dropped for them.
 		Who  string
@@ -51,10 +53,11 @@
 func (cse *budgetCase) play(t *testing.T) {
 	start := time.Unix(1_000_000, 0)
 	bud := NewBudget(cse.Limit)
+	bud.PeerReserve = cse.Reserve
 	holders, names := map[string]*Holder{}, map[*Holder]string{}
 	holder := func(name string) *Holder {
 		if holders[name] == nil {
-			holders[name] = &Holder{Drop: func() {}}
+			holders[name] = &Holder{Drop: func() {}, Peer: strings.HasPrefix(name, "peer")}
 			names[holders[name]] = name
 		}
 		return holders[name]
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -88,7 +88,7 @@
 
 func newConn(gat *Gate, pol *pool, raw bool, con net.Conn) *Conn {
 	one := &Conn{Conn: con, gate: gat, pool: pol, raw: raw}
-	one.holder.Drop = one.drop
+	one.holder.Drop, one.holder.Peer = one.drop, raw
 	one.waitingSince.Store(gat.Now().UnixNano())
 	return one
 }
--- a/intake/gate.go
+++ b/intake/gate.go
@@ -26,6 +26,9 @@
 	logInterval = time.Second
 	// noteInterval is the interval at which the time is noted while connections are open.
 	noteInterval = 100 * time.Millisecond
+	// peerReserveShare is the fraction of the budget that only peers use, as a divisor: callers that use up the rest must
+	// not cut daemons off from each other.
+	peerReserveShare = 8
 )
 
 // Limits are the limits of a process's callers; a configuration or a reload may change them at any time.
@@ -77,6 +80,7 @@
 		Now: time.Now, budget: NewBudget(memory), conns: map[*Conn]bool{}, freed: make(chan struct{}),
 		logged: map[string]time.Time{}, skipped: map[string]int{},
 	}
+	gat.budget.PeerReserve = memory / peerReserveShare
 	gat.limits.Store(&Limits{
 		HeadBytes: defaultHeadBytes, HeadTime: defaultHeadTime, IdleTime: defaultIdleTime, BodyStall: DefaultStall, ReaderStall: DefaultStall,
 	})
@@ -87,7 +91,7 @@
 func (gat *Gate) SetMemory(bytes int64) {
 	gat.mutex.Lock()
 	defer gat.mutex.Unlock()
-	gat.budget.Limit = bytes
+	gat.budget.Limit, gat.budget.PeerReserve = bytes, bytes/peerReserveShare
 }
 
 // SetLimits changes the limits of callers from their next request on; a limit that is 0 stays as it is.
--- a/intake/gate_test.go
+++ b/intake/gate_test.go
@@ -331,3 +331,17 @@
 		}
 	}
 }
+
+// Guards against a budget that callers use up, so that messages of peers are refused, also after it was changed.
+func TestPeerReserve(t *testing.T) {
+	gat := NewGate(1 << 20)
+	gat.SetMemory(2 << 20)
+	for gat.take(&Holder{}, smallBytes) == nil {
+	}
+	_, pcs := newPieces(nil, 1)
+	con := newConn(gat, &pool{gate: gat, conns: map[*Conn]bool{}}, true, pcs)
+	const share = (2 << 20) / peerReserveShare / messageCopies
+	if _, err := gat.BeginMessage(con, share); err != nil {
+		t.Errorf("got %v for a message of %d bytes, want it admitted", err, share)
+	}
+}
--- a/settings/intake.go
+++ b/settings/intake.go
@@ -28,7 +28,7 @@
 	entryReaderStall = 30 * time.Second
 	maxStall         = 10 * time.Minute
 	// minIntakeMB holds a body of 4 MiB and an answer of 4 MiB in a buffer that grows to twice its size, 12 MiB, within the
-	// seven eighths of the budget that large requests may use.
+	// three quarters of the budget that large requests of callers may use.
 	minIntakeMB = 16
 	// maxIntakeShare is the part of a daemon's memory, as a divisor, that requests may hold: the Go runtime collects
 	// garbage all the time from 0.6 of the memory on.
