Remove the write deadline of streams, which had no effect

Cause: the connections of callers set a deadline for each write themselves, so that SetWriteDeadline does nothing there and intake.readerStall decides. The comments on stalled bodies and small requests now say what counts.

No change of behaviour on the daemon's connections, so there is no test that fails before. go test -race ./entry ./intake passes.

--- a/entry/sink.go
+++ b/entry/sink.go
@@ -15,9 +15,6 @@
 	"papayacroft/routing"
 )
 
-// writeTimeout bounds one write to a caller; a slower reader is disconnected and may resume.
-const writeTimeout = 30 * time.Second
-
 // keepaliveInterval is the time without an event after which a keepalive comment is sent.
 const keepaliveInterval = 5 * time.Second
 
@@ -261,13 +258,10 @@
 	return snk.flushBuffer()
 }
 
-// print writes an event into the response's buffer; the caller holds the mutex.
-// It sets the write deadline, because a full buffer is sent without a call of flushBuffer.
+// print writes an event into the response's buffer, which is sent when it is full; the caller holds the mutex. The
+// connection limits the time of each write (intake.readerStall); a slower reader is disconnected and may resume.
 func (snk *streamSink) print(format string, args ...any) error {
 	snk.keepaliveTicker.Reset(keepaliveInterval)
-	if err := snk.control.SetWriteDeadline(snk.server.Now().Add(writeTimeout)); err != nil {
-		return trace.Wrap(err)
-	}
 	_, err := fmt.Fprintf(snk.writer, format, args...)
 	return trace.Wrap(err)
 }
--- a/intake/budget.go
+++ b/intake/budget.go
@@ -10,8 +10,8 @@
 	smallBytes = 64 << 10
 	// trackedBytes is the size from which a request may be dropped at all.
 	trackedBytes = 8 << 10
-	// smallStalledTime is the time without progress after which a small request is no ordinary one: small requests may drop
-	// it if there is no large one to drop.
+	// smallStalledTime is the time without progress after which other small requests may drop a small one, if there is no
+	// large one to drop.
 	smallStalledTime = time.Second
 	// keptShare is the fraction of the budget, without the reserve of peers, that only small requests use, as a divisor.
 	keptShare = 8
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -70,7 +70,7 @@
 	classBusy
 )
 
-// stalledBody is the time without progress after which a body is no ordinary one.
+// stalledBody is the time without progress after which a body counts as stalled.
 const stalledBody = time.Second
 
 // freshTime is the time that a caller has for its first request before its connection counts as unused. Callers within a
