--- a/intake/budget_test.go
+++ b/intake/budget_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,8 +13,9 @@
 // budgetCase is a sequence of steps on one budget.
 type budgetCase struct {
 	Name, Guards string
-	Limit        int64
-	Steps        []struct {
+	// Reserve is that of peers, which are all whose names begin with "peer".
+	Limit, Reserve int64
+	Steps          []struct {
 		At time.Duration
 		// Take is the number of bytes that Who takes, Want the verdict, and Drop who is dropped for them.
 		Who  string
@@ -22,6 +24,8 @@
 		Drop string
 		// Touch, Keep and Leave are those whose bytes arrive, that are whole, and that return everything.
 		Touch, Keep, Leave []string
+		// Note is true if the time is noted before.
+		Note bool
 	}
 }
 
@@ -49,16 +53,20 @@
 func (cse *budgetCase) play(t *testing.T) {
 	start := time.Unix(1_000_000, 0)
 	bud := NewBudget(cse.Limit)
+	bud.PeerReserve = cse.Reserve
 	holders, names := map[string]*Holder{}, map[*Holder]string{}
 	holder := func(name string) *Holder {
 		if holders[name] == nil {
-			holders[name] = &Holder{Drop: func() {}}
+			holders[name] = &Holder{Drop: func() {}, Peer: strings.HasPrefix(name, "peer")}
 			names[holders[name]] = name
 		}
 		return holders[name]
 	}
 	for number, stp := range cse.Steps {
 		now := start.Add(stp.At)
+		if stp.Note {
+			bud.Note(now)
+		}
 		for _, name := range stp.Touch {
 			holder(name).Touch(now)
 		}
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"sync"
@@ -13,12 +14,17 @@
 	maxHeadBytes = 256 << 10
 	// firstHeadBytes is the first buffer for a head that does not arrive at once.
 	firstHeadBytes = 4 << 10
+	// blankQueue is the first buffer for blank bytes that precede a head; it has room for more than maxBlankBytes.
+	blankQueue = 4 * maxBlankBytes
 	// armTime is the interval at which a deadline is moved: moving it at each read or write would cost more than the
 	// accuracy is worth.
 	armTime = 250 * time.Millisecond
 	// minBodyRate is the least rate of a body in bytes a second, once bodyGrace has passed.
 	minBodyRate = 16 << 10
 	bodyGrace   = 10 * time.Second
+	// lateTime is the time for a second try after a time-out: deadlines also expire while the process or the machine is
+	// paused, although the client has sent or read meanwhile.
+	lateTime = 250 * time.Millisecond
 	// DefaultStall is the default of Limits.BodyStall and Limits.ReaderStall: callers within a region need milliseconds.
 	DefaultStall = 5 * time.Second
 )
@@ -47,8 +53,8 @@
 	holder Holder
 	close  sync.Once
 
-	// waitingSince is when the connection was opened or its last request ended, in Unix nanoseconds; 0 while a request is
-	// served. served is true once a request was served.
+	// waitingSince is when the connection was opened or began to wait for its next request, in Unix nanoseconds; 0 from a
+	// request's head until its answer is written. served is true once a request was served.
 	waitingSince atomic.Int64
 	served       atomic.Bool
 	// reading is true while the body of a request has not arrived whole.
@@ -66,9 +72,13 @@
 	limits *Limits
 	head   head
 	chunks chunks
-	// left is what is left of a body with a length; received is the size of the body so far, since bodyBegan.
+	// left is what is left of a body with a length; received is what has arrived of the body since bodyBegan.
 	left, received int64
 	bodyBegan      time.Time
+	// begun is true once a byte of this head arrived that is not blank.
+	begun bool
+	// late is true once a read of this head, or of this body after the time for the whole of it, was tried again.
+	late bool
 	// queue is data that was read but not handed out; its first ready bytes may be.
 	queue []byte
 	ready int
@@ -78,7 +88,7 @@
 
 func newConn(gat *Gate, pol *pool, raw bool, con net.Conn) *Conn {
 	one := &Conn{Conn: con, gate: gat, pool: pol, raw: raw}
-	one.holder.Drop = one.drop
+	one.holder.Drop, one.holder.Peer = one.drop, raw
 	one.waitingSince.Store(gat.Now().UnixNano())
 	return one
 }
@@ -143,19 +153,20 @@
 	con.gate.reset(&con.holder)
 	con.limits = con.gate.limits.Load()
 	con.head.limit = con.limits.HeadBytes
-	hasBegun := len(con.queue) > 0 || con.head.ahead > 0
-	wait := con.limits.IdleTime
-	if hasBegun {
-		wait = con.limits.HeadTime
-	}
-	_ = con.Conn.SetReadDeadline(now.Add(wait))
+	con.late = false
+	con.setIdle(now)
+	con.begun = con.head.ahead > con.head.blank
+	_ = con.Conn.SetReadDeadline(now.Add(con.limits.IdleTime))
+	if con.begun {
+		_ = con.Conn.SetReadDeadline(now.Add(con.limits.HeadTime))
+	}
+	con.beginHead(con.queue)
 	end, err := con.head.scan(con.queue)
 	if end == 0 && err == nil && len(con.queue) == 0 {
 		var count int
 		if count, end, err = con.readFirst(buf); end > 0 && err == nil {
 			return con.finishHead(buf[:count], end)
 		}
-		hasBegun = hasBegun || count > 0
 	}
 	for end == 0 && err == nil {
 		end, err = con.readMore()
@@ -164,30 +175,96 @@
 		err = con.beginRequest()
 	}
 	if err != nil {
-		return con.refuseHead(buf, err, hasBegun)
+		return con.refuseHead(buf, err)
 	}
 	con.ready = end
 	return con.handOut(buf), nil
 }
 
+// beginHead sets the deadline of a head when its first byte arrives. Blank bytes before it begin no head: some callers end
+// a body with an empty line.
+func (con *Conn) beginHead(data []byte) {
+	if con.begun || len(bytes.Trim(data, "\r\n")) == 0 {
+		return
+	}
+	con.begun, con.late = true, false
+	_ = con.Conn.SetReadDeadline(con.gate.Now().Add(con.limits.HeadTime))
+}
+
 // readFirst waits for the first bytes of a head and returns their number and the length of the whole head, 0 if it has
 // not arrived; then the bytes are queued.
 func (con *Conn) readFirst(buf []byte) (count, end int, err error) {
-	if count, err = con.Conn.Read(buf); count == 0 {
+	if count, err = con.readHeadPart(buf); count == 0 {
 		return 0, 0, err
 	}
 	if end, err = con.head.scan(buf[:count]); end > 0 || err != nil {
 		return count, end, err
 	}
-	_ = con.Conn.SetReadDeadline(con.gate.Now().Add(con.limits.HeadTime))
+	con.beginHead(buf[:count])
 	if con.dropped.Load() {
 		return count, 0, ErrMemory
 	}
 	return count, 0, con.enqueue(buf[:count])
 }
 
-// enqueue begins to collect a head.
+// readHeadPart reads a part of a head. After a time-out it tries once more; the rest of the head then has lateTime in all.
+func (con *Conn) readHeadPart(buf []byte) (int, error) {
+	count, err := con.Conn.Read(buf)
+	if count > 0 || !isTimeout(err) || con.late {
+		return count, err
+	}
+	con.late = true
+	return con.readLate(buf, err)
+}
+
+// readLate reads once more after a time-out, unless the connection was dropped or the deadline set to end the read.
+func (con *Conn) readLate(buf []byte, err error) (int, error) {
+	if con.dropped.Load() || con.outer.Load() == past.UnixNano() {
+		return 0, err
+	}
+	con.readArmed.Store(0)
+	_ = con.Conn.SetReadDeadline(con.gate.Now().Add(lateTime))
+	if con.dropped.Load() {
+		_ = con.Conn.SetReadDeadline(past)
+	}
+	return con.Conn.Read(buf)
+}
+
+// readBodyPart reads a part of a body. After a time-out it tries once more. If the time that the body's size allows, or
+// that was set from outside, has passed by then, it is extended, but only once for each body, so that its rate stays
+// limited.
+func (con *Conn) readBodyPart(buf []byte) (int, error) {
+	con.armRead()
+	count, err := con.Conn.Read(buf)
+	if count > 0 || !isTimeout(err) {
+		return count, err
+	}
+	now, outer := con.gate.Now(), con.outer.Load()
+	isOver := !now.Before(con.bodyLimit()) || outer != 0 && now.UnixNano() >= outer
+	if isOver && con.late {
+		return 0, err
+	}
+	if count, err = con.readLate(buf, err); count > 0 && isOver {
+		con.late = true
+		con.bodyBegan, con.received = now, 0
+		if outer != 0 {
+			con.outer.CompareAndSwap(outer, now.Add(con.limits.BodyStall).UnixNano())
+		}
+	}
+	return count, err
+}
+
+// bodyLimit returns the time until which a body of the size so far must have arrived.
+func (con *Conn) bodyLimit() time.Time {
+	return con.bodyBegan.Add(bodyGrace + time.Duration(con.received)*time.Second/minBodyRate)
+}
+
+// enqueue begins to collect a head. The few blank bytes before one need no reservation.
 func (con *Conn) enqueue(data []byte) error {
+	if !con.begun {
+		con.queue = append(make([]byte, 0, blankQueue), data...)
+		return nil
+	}
 	if err := con.gate.take(&con.holder, int64(max(firstHeadBytes, 2*len(data)))); err != nil {
 		return err
 	}
@@ -198,15 +275,17 @@
 // readMore reads more of a head into the queue.
 func (con *Conn) readMore() (int, error) {
 	if size := len(con.queue); size == cap(con.queue) {
-		if err := con.gate.take(&con.holder, int64(2*size)); err != nil {
+		grown := max(firstHeadBytes, 2*size)
+		if err := con.gate.take(&con.holder, int64(grown)); err != nil {
 			return 0, err
 		}
-		con.queue = append(make([]byte, 0, 2*size), con.queue...)
+		con.queue = append(make([]byte, 0, grown), con.queue...)
 		con.gate.release(&con.holder, int64(size))
 	}
 	size := len(con.queue)
-	count, err := con.Conn.Read(con.queue[size:cap(con.queue)])
+	count, err := con.readHeadPart(con.queue[size:cap(con.queue)])
 	con.queue = con.queue[:size+count]
+	con.beginHead(con.queue)
 	con.holder.Touch(con.gate.Now())
 	if count == 0 && err != nil {
 		return 0, err
@@ -217,7 +296,7 @@
 // finishHead hands out a head that arrived in one piece, with what has arrived of its body.
 func (con *Conn) finishHead(data []byte, end int) (int, error) {
 	if err := con.beginRequest(); err != nil {
-		return con.refuseHead(data, err, true)
+		return con.refuseHead(data, err)
 	}
 	if con.state == stateSealed || len(data) == end {
 		return end, nil
@@ -232,7 +311,7 @@
 	}
 	con.waitingSince.Store(0)
 	con.holder.Touch(con.gate.Now())
-	con.left, con.received, con.chunks = con.head.length, 0, chunks{}
+	con.left, con.received, con.chunks, con.late = con.head.length, 0, chunks{}, false
 	switch {
 	case con.head.framing == framingUnknown:
 		con.state = stateSealed
@@ -259,8 +338,7 @@
 		con.dequeue(count)
 	} else {
 		var err error
-		con.armRead()
-		if count, err = con.Conn.Read(buf); count == 0 {
+		if count, err = con.readBodyPart(buf); count == 0 {
 			return 0, con.bodyError(err)
 		}
 		con.holder.Touch(con.gate.Now())
@@ -321,7 +399,7 @@
 	}
 	con.readArmed.Store(now.UnixNano())
 	until := now.Add(con.gate.limits.Load().BodyStall)
-	if allowed := con.bodyBegan.Add(bodyGrace + time.Duration(con.received)*time.Second/minBodyRate); allowed.Before(until) {
+	if allowed := con.bodyLimit(); allowed.Before(until) {
 		until = allowed
 	}
 	if outer := con.outer.Load(); outer != 0 && outer < until.UnixNano() {
@@ -362,8 +440,14 @@
 	if con.state != stateBody {
 		con.gate.reset(&con.holder)
 	}
-	con.served.Store(true)
-	con.waitingSince.Store(con.gate.Now().UnixNano())
+}
+
+// setIdle records that the connection waits for its next request, unless it does already. The answer to the last one has
+// been written whole then, because net/http reads the next head only after that.
+func (con *Conn) setIdle(now time.Time) {
+	if con.waitingSince.CompareAndSwap(0, now.UnixNano()) {
+		con.served.Store(true)
+	}
 }
 
 // Close closes the connection.
