Keep the expected output of streams in the queue

Cause: Scheduler.Expect returned work without Output, so that with the queue on the expected run time, the output left and their log fields were 0, and learnt speeds were not used. Expect returns the output, too. Result: TestExpectedOutputIsKept failed before (output 0 in place of 200) and passes; scheduler and the tests of gateway/queue_test.go pass.

--- a/gateway/queue_test.go
+++ b/gateway/queue_test.go
@@ -182,6 +182,16 @@
 	}
 }
 
+// Guards against work without its output, for which neither a run time nor the output that is left can be expected.
+func TestExpectedOutputIsKept(t *testing.T) {
+	srv, _ := queueServer()
+	rqs := streamRequest(srv, 4*time.Second)
+	rqs.PromptTokens, rqs.MaxTokens = 1000, 500
+	if got, want := srv.expect(rqs), (dispatch.Work{Tokens: 1200, Prefill: 1000, Output: 200}); got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
 // Guards against a call that waits for a plain endpoint although one is free, or for longer than a third of its target.
 func TestCallsWaitShortly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/scheduler/estimate.go
+++ b/scheduler/estimate.go
@@ -75,7 +75,7 @@
 		output = usual
 	}
 	runs := dispatch.PromptTime(prompt) + time.Duration(output)*sch.runs.tokenTime(service)
-	return dispatch.Work{Tokens: min(prompt+output, dispatch.LargestWork(engine)), Prefill: prompt}, runs
+	return dispatch.Work{Tokens: min(prompt+output, dispatch.LargestWork(engine)), Prefill: prompt, Output: output}, runs
 }
 
 // expectedWait returns the time after which a ticket is expected to get capacity.
