Refuse overdue requests only after capacity was given out

Cause: a pass refused late requests in favour of others before it looked for capacity, and counted what waits at any peer: with idle engines a late first attempt was refused because a far peer had 100 tokens waiting. A second attempt of the gateway counted as a first one. A pass now sends first; only peers with a share of this daemon's engines count; a request that was sent before is not overdue.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -43,6 +43,8 @@
 	LatestStart time.Time
 	// Retried is true if the caller was refused before and has come back.
 	Retried bool
+	// Resent is true if the request was sent before without an answer; it is not overdue before its deadline.
+	Resent bool
 	// Value is data of the caller; the queue doesn't use it.
 	Value any
 
--- a/admission/target.go
+++ b/admission/target.go
@@ -102,7 +102,8 @@
 }
 
 // Overdue removes and returns the items that can no longer meet their target while others that can wait for the same
-// resource, here or elsewhere: punctual has the resources for which such items wait elsewhere. Retries stay until their deadline.
+// resource, here or elsewhere: punctual has the resources for which such items wait elsewhere. Retries and requests that
+// were sent before stay until their deadline.
 func (que *Queue) Overdue(now time.Time, punctual map[string]bool) []*Item {
 	punctual = maps.Clone(punctual)
 	if punctual == nil {
@@ -113,7 +114,7 @@
 		if !itm.LatestStart.IsZero() && !itm.IsLate(now) {
 			punctual[itm.Resource] = true
 		}
-		if itm.IsLate(now) && !itm.Retried {
+		if itm.IsLate(now) && !itm.Retried && !itm.Resent {
 			overdue = append(overdue, itm)
 		}
 	}
--- a/dispatch/room_test.go
+++ b/dispatch/room_test.go
@@ -62,8 +62,8 @@
 	if wtg.Set(testNow, "b", WaitingTokens{"pool": {0: 1000, 2: 400}}) || !wtg.Set(testNow, "b", WaitingTokens{"pool": {0: 900, 2: 400}}) {
 		t.Error("got less waiting work for more, or not for less")
 	}
-	if !wtg.Set(testNow, "b", WaitingTokens{}) || len(wtg.Services(testNow)) != 2 {
-		t.Errorf("got services %v after one peer has nothing left, want two", wtg.Services(testNow))
+	if !wtg.Set(testNow, "b", WaitingTokens{}) || len(wtg.Services(testNow, nil)) != 2 {
+		t.Errorf("got services %v after one peer has nothing left, want two", wtg.Services(testNow, nil))
 	}
 	if wtg.Forget(later); len(wtg.peers) != 0 {
 		t.Errorf("got %d peers after a second, want none", len(wtg.peers))
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -75,11 +75,12 @@
 	return sum, least
 }
 
-// Services returns the services for which requests that can be on time wait at peers.
-func (wtg *Waiting) Services(now time.Time) map[string]bool {
+// Services returns the services for which requests that can be on time wait at peers. Peers without a share use no engine that this
+// daemon uses; nil shares mean that all of them do.
+func (wtg *Waiting) Services(now time.Time, shares map[string]float64) map[string]bool {
 	services := map[string]bool{}
-	for _, per := range wtg.peers {
-		if now.Sub(per.at) >= waitingLifetime {
+	for name, per := range wtg.peers {
+		if now.Sub(per.at) >= waitingLifetime || shares != nil && shares[name] <= 0 {
 			continue
 		}
 		for service, tokens := range per.tokens {
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -181,6 +181,7 @@
 	rou := rqs.route
 	tkt := &scheduler.Ticket{
 		Organisation: rqs.organisation, Route: rou.Name, Priority: rqs.rank, Deadline: rqs.deadline, Runs: rqs.runs, Plain: plain,
+		Resent: rqs.sends > 0,
 		Request: dispatch.Request{
 			Service: rqs.service, Work: wrk, Target: rou.Target, Excluded: rqs.excluded, Brief: rou.Resumable, Safest: srv.wantsSafest(rqs),
 			Parts: promptParts(rqs.Parts),
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -66,6 +66,8 @@
 	Deadline time.Time
 	// Retried is true if the caller was refused before.
 	Retried bool
+	// Resent is true if the request was sent to an endpoint before, which did not answer it.
+	Resent bool
 	// Plain marks a call that is never refused for lack of capacity.
 	Plain bool
 	// Value is data of the caller.
@@ -182,7 +184,7 @@
 	first := dispatch.PromptTime(tkt.Request.Prefill)
 	itm := &admission.Item{
 		Organisation: tkt.Organisation, Class: tkt.Route, Resource: tkt.Request.Service, Rank: -tkt.Priority,
-		Deadline: tkt.Deadline.Add(-first), Tokens: tkt.Request.Tokens, Retried: tkt.Retried, Value: tkt,
+		Deadline: tkt.Deadline.Add(-first), Tokens: tkt.Request.Tokens, Retried: tkt.Retried, Resent: tkt.Resent, Value: tkt,
 	}
 	if !tkt.TargetAt.IsZero() {
 		itm.LatestStart = tkt.TargetAt.Add(-first)
@@ -190,17 +192,19 @@
 	return itm
 }
 
-// Pass refuses the tickets whose time is over, sends waiting tickets for which there is capacity, in the order of the queue, and
-// returns their outcomes.
+// Pass refuses the tickets whose deadline is too near, sends waiting tickets for which there is capacity, in the order of the queue,
+// refuses those of the others that are overdue, and returns the outcomes. It sends first, as a ticket that finds capacity takes none
+// from others: those go before it.
 func (sch *Scheduler) Pass(now time.Time, rnd *rand.Rand, vew *View) []Outcome {
 	var outcomes []Outcome
 	for _, itm := range sch.Queue.Expire(now) {
 		outcomes = append(outcomes, sch.refuse(now, rnd, vew, itm, ReasonExpired, false))
 	}
-	for _, itm := range sch.Queue.Overdue(now, sch.Waiting.Services(now)) {
+	outcomes = append(outcomes, sch.sendWaiting(now, rnd, vew)...)
+	for _, itm := range sch.Queue.Overdue(now, sch.Waiting.Services(now, vew.Shares)) {
 		outcomes = append(outcomes, sch.refuse(now, rnd, vew, itm, ReasonOverdue, false))
 	}
-	return append(outcomes, sch.sendWaiting(now, rnd, vew)...)
+	return outcomes
 }
 
 // sendWaiting sends the tickets for which there is capacity.
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -20,7 +20,7 @@
 	Tokens, Prompt         int
 	Priority               int
 	Target, Deadline, Runs float64
-	Retried                bool
+	Retried, Resent        bool
 }
 
 type decisionStep struct {
@@ -39,7 +39,9 @@
 	Capacity     int
 	// Engines has the number of streams that run at each engine.
 	Engines map[string]int
-	Steps   []decisionStep
+	// Shares has the parts of the engines of peers that this daemon uses, too; nil means all.
+	Shares map[string]float64
+	Steps  []decisionStep
 }
 
 // decisions is the state of one case.
@@ -80,6 +82,7 @@
 	}
 	engine := &catalog.Engine{Slots: engineSlots, CapacityTokens: engineTokens}
 	dec.vew = &View{
+		Shares: cas.Shares,
 		Catalog: catalog.NewCatalog(1, []catalog.Route{
 			{Name: "urgent", Target: 1500 * time.Millisecond, Shares: []catalog.Share{{Service: "pool", Weight: 1}}},
 		}, []catalog.Service{{Name: "pool", Engine: engine}}, nil),
@@ -150,7 +153,7 @@
 		return now.Add(time.Duration(seconds * float64(time.Second)))
 	}
 	tkt := &Ticket{
-		Organisation: "one", Route: fmt.Sprint("route", one.Priority), Priority: one.Priority, Retried: one.Retried, Value: one.ID,
+		Organisation: "one", Route: fmt.Sprint("route", one.Priority), Priority: one.Priority, Retried: one.Retried, Resent: one.Resent, Value: one.ID,
 		TargetAt: after(one.Target, 4), Deadline: after(one.Deadline, 39), Runs: time.Duration(max(one.Runs, 0.5) * float64(time.Second)),
 		Request: dispatch.Request{Service: "pool", Target: after(one.Target, 4).Sub(now), Work: dispatch.Work{Tokens: one.Tokens, Prefill: one.Prompt}},
 	}
