Keep Retry-After of refusals by the queue

Cause: the scheduler refused a request with the reason of the choice only, so that the end of a pause and the next permit were lost, and a 503 had no Retry-After while all endpoints were paused. The whole choice is passed on, and the refusal bounds Retry-After: at least 0.1 s, at most a third of the caller's remaining time. Result: TestRetryAfterOfPauses failed without each of the two (0.1 s in place of 2 s; 3 s in place of 2 s) and passes, as do proof, scheduler, admission and the scripts of pauses, cold endpoints, limits and the queue.

--- a/admission/target.go
+++ b/admission/target.go
@@ -50,7 +50,13 @@
 	if wait < longest {
 		wait = time.Duration(float64(wait) * (1 + retryAfterJitter*(2*rnd.Float64()-1)))
 	}
-	return max(minRetryAfter, min(wait, longest))
+	return BoundRetry(wait, left)
+}
+
+// BoundRetry returns the time after which a refused caller may come back, in place of wait: minRetryAfter at least, and at most
+// maxRetryShare of the time that it has left.
+func BoundRetry(wait, left time.Duration) time.Duration {
+	return max(minRetryAfter, min(wait, time.Duration(maxRetryShare*float64(left))))
 }
 
 // Order returns all waiting items, the one to send first in front: items that can still meet their target before those that can't,
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"papayacroft/admission"
 	"papayacroft/catalog"
 	"papayacroft/dispatch"
 )
@@ -71,7 +72,7 @@
 	if trs.answer != nil {
 		return srv.relayAnswer(wri, rqs, trs.answer)
 	}
-	return trs.refusal(ctx, rqs)
+	return trs.refusal(ctx, srv.Now(), rqs)
 }
 
 // noteChoice records why no endpoint could be chosen, and when one may be: at the next permit for a cold one, or at the end of a
@@ -95,7 +96,8 @@
 }
 
 // refusal returns the gateway's response to a request that no endpoint answered.
-func (trs *tries) refusal(ctx context.Context, rqs *request) *refusal {
+func (trs *tries) refusal(ctx context.Context, now time.Time, rqs *request) *refusal {
+	left := rqs.deadline.Sub(now)
 	switch {
 	case rqs.http.Context().Err() != nil:
 		return failed("the caller left")
@@ -108,9 +110,9 @@
 	case trs.condemned != nil:
 		return trs.condemned
 	case trs.noEndpoint != "":
-		return notRun(cmp.Or(rqs.retryAfter, trs.retryAfter), "no endpoint takes work: %s", trs.noEndpoint)
+		return notRun(admission.BoundRetry(cmp.Or(rqs.retryAfter, trs.retryAfter), left), "no endpoint takes work: %s", trs.noEndpoint)
 	}
-	return notRun(trs.retryAfter, "endpoints refused the request or took no connection")
+	return notRun(admission.BoundRetry(trs.retryAfter, left), "endpoints refused the request or took no connection")
 }
 
 // tryCall sends the request to one endpoint and reports whether it should be sent to another.
--- a/gateway/queue_test.go
+++ b/gateway/queue_test.go
@@ -192,6 +192,33 @@
 	}
 }
 
+// Guards against a refusal by the queue without a Retry-After while the only endpoint has a pause, and against one that is too short or
+// too long for the caller.
+func TestRetryAfterOfPauses(t *testing.T) {
+	for _, cas := range []struct{ pause, left, want time.Duration }{
+		{2 * time.Second, 30 * time.Second, 2 * time.Second},
+		{3 * time.Second, 6 * time.Second, 2 * time.Second},
+		{20 * time.Millisecond, 30 * time.Second, 100 * time.Millisecond},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			srv, snp := queueServer()
+			edp := snp.Fleet.Endpoints["e"]
+			srv.Balancer.Paused(srv.Now(), &edp, cas.pause)
+			rqs := streamRequest(srv, 4*time.Second)
+			rqs.deadline = rqs.begun.Add(cas.left)
+			trs := &tries{retryAfter: fullRetry}
+			cho := srv.awaitTurn(t.Context(), rqs, dispatch.Work{Tokens: 100}, false)
+			trs.noteChoice(&cho)
+			if got, want := cho.Reason, dispatch.ReasonPaused; got != want {
+				t.Errorf("got reason %q, want %q", got, want)
+			}
+			if got := trs.refusal(t.Context(), srv.Now(), rqs).retryAfter; got != cas.want {
+				t.Errorf("pause %v, %v left: got Retry-After %v, want %v", cas.pause, cas.left, got, cas.want)
+			}
+		})
+	}
+}
+
 // Guards against a call that waits for a plain endpoint although one is free, or for longer than a third of its target.
 func TestCallsWaitShortly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -146,7 +146,7 @@
 	case trs.answer != nil:
 		return one.server.relayAnswer(one.writer, one.request, trs.answer)
 	}
-	return trs.refusal(ctx, one.request)
+	return trs.refusal(ctx, one.server.Now(), one.request)
 }
 
 // tryStart sends the request to one engine and reports whether it should be sent to another.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -159,7 +159,7 @@
 	}
 	var outcomes []Outcome
 	if victim != nil {
-		outcomes = append(outcomes, sch.refuse(now, rnd, vew, victim, ReasonOverflow, victim == tkt.item))
+		outcomes = append(outcomes, sch.refuse(now, rnd, vew, victim, dispatch.Choice{Reason: ReasonOverflow}, victim == tkt.item))
 	}
 	outcomes = append(outcomes, sch.Pass(now, rnd, vew)...)
 	for i := range outcomes {
@@ -171,9 +171,9 @@
 	switch {
 	case tkt.Plain:
 	case sch.Stopping:
-		outcomes = append(outcomes, sch.drop(now, rnd, vew, tkt.item, ReasonStopping, true))
+		outcomes = append(outcomes, sch.drop(now, rnd, vew, tkt.item, dispatch.Choice{Reason: ReasonStopping}, true))
 	case tkt.item.IsHopeless(now, sch.expectedWait(now, vew, tkt)):
-		outcomes = append(outcomes, sch.drop(now, rnd, vew, tkt.item, ReasonTooLate, true))
+		outcomes = append(outcomes, sch.drop(now, rnd, vew, tkt.item, dispatch.Choice{Reason: ReasonTooLate}, true))
 	}
 	return outcomes
 }
@@ -198,11 +198,11 @@
 func (sch *Scheduler) Pass(now time.Time, rnd *rand.Rand, vew *View) []Outcome {
 	var outcomes []Outcome
 	for _, itm := range sch.Queue.Expire(now) {
-		outcomes = append(outcomes, sch.refuse(now, rnd, vew, itm, ReasonExpired, false))
+		outcomes = append(outcomes, sch.refuse(now, rnd, vew, itm, dispatch.Choice{Reason: ReasonExpired}, false))
 	}
 	outcomes = append(outcomes, sch.sendWaiting(now, rnd, vew)...)
 	for _, itm := range sch.Queue.Overdue(now, sch.Waiting.Services(now, vew.Shares)) {
-		outcomes = append(outcomes, sch.refuse(now, rnd, vew, itm, ReasonOverdue, false))
+		outcomes = append(outcomes, sch.refuse(now, rnd, vew, itm, dispatch.Choice{Reason: ReasonOverdue}, false))
 	}
 	return outcomes
 }
@@ -230,7 +230,7 @@
 			order = sch.Queue.Order(now)
 		case cho.Reason != dispatch.ReasonFull && cho.Reason != dispatch.ReasonLimited:
 			// No wait helps.
-			out := sch.drop(now, rnd, vew, itm, cho.Reason, false)
+			out := sch.drop(now, rnd, vew, itm, cho, false)
 			out.RetryAfter = 0
 			outcomes = append(outcomes, out)
 		case isHead:
@@ -364,18 +364,19 @@
 }
 
 // drop removes an item from the queue and refuses it.
-func (sch *Scheduler) drop(now time.Time, rnd *rand.Rand, vew *View, itm *admission.Item, reason dispatch.Reason, atOnce bool) Outcome {
+func (sch *Scheduler) drop(now time.Time, rnd *rand.Rand, vew *View, itm *admission.Item, cho dispatch.Choice, atOnce bool) Outcome {
 	sch.Queue.Remove(itm)
-	return sch.refuse(now, rnd, vew, itm, reason, atOnce)
+	return sch.refuse(now, rnd, vew, itm, cho, atOnce)
 }
 
-// refuse returns the refusal of an item that is no longer in the queue.
-func (sch *Scheduler) refuse(now time.Time, rnd *rand.Rand, vew *View, itm *admission.Item, reason dispatch.Reason, atOnce bool) Outcome {
+// refuse returns the refusal of an item that is no longer in the queue. The choice has the reason, and when an endpoint takes work
+// again if it has said so.
+func (sch *Scheduler) refuse(now time.Time, rnd *rand.Rand, vew *View, itm *admission.Item, cho dispatch.Choice, atOnce bool) Outcome {
 	tkt := itm.Value.(*Ticket)
-	out := sch.outcome(now, itm, dispatch.Choice{Reason: reason})
+	out := sch.outcome(now, itm, cho)
 	out.AtOnce = atOnce
 	wait := time.Duration(0)
-	if reason != ReasonStopping {
+	if cho.Reason != ReasonStopping {
 		// The caller of a daemon that stops comes back to another one, for which this one's backlog says nothing.
 		wait = sch.expectedWait(now, vew, tkt)
 	}
@@ -396,7 +397,7 @@
 	var outcomes []Outcome
 	for _, itm := range sch.Queue.Order(now) {
 		if tkt := itm.Value.(*Ticket); !tkt.Plain {
-			outcomes = append(outcomes, sch.drop(now, rnd, vew, itm, ReasonStopping, false))
+			outcomes = append(outcomes, sch.drop(now, rnd, vew, itm, dispatch.Choice{Reason: ReasonStopping}, false))
 		}
 	}
 	return outcomes
