Rotate the turns of daemons at an engine

Cause: the order of daemons at an engine was the same for all time, so that the second one got no turn in 18 s beside a busy one (review). The hash now has the time in slices of 1 s. Clocks that differ by milliseconds cost a turn at most. Result: TestTurnsRotate failed before (first in 20 of 20 slices) and passes; scheduler and dispatch pass.

--- a/dispatch/room_test.go
+++ b/dispatch/room_test.go
@@ -97,6 +97,25 @@
 	}
 }
 
+// Guards against a daemon that never goes first at an engine beside another one that always has waiting requests, and against an order
+// that changes within a slice of time.
+func TestTurnsRotate(t *testing.T) {
+	wtg := NewWaiting()
+	first := 0
+	for slice := range 20 {
+		at := testNow.Add(time.Duration(slice) * turnSlice)
+		wtg.Set(at, "b", WaitingTokens{"pool": {0: 100}})
+		before := wtg.Before(at, "pool", 0, nil, "e1", "a")
+		if later := wtg.Before(at.Add(turnSlice-1), "pool", 0, nil, "e1", "a"); later != before {
+			t.Errorf("slice %d: got %d daemons before this one at its end, want %d as at its start", slice, later, before)
+		}
+		first += 1 - before
+	}
+	if first < 4 || first > 16 {
+		t.Errorf("got the first turn in %d of 20 slices, want 4 to 16", first)
+	}
+}
+
 // Guards against a rate of work that counts engines that are gone, leave or are denied, or that other daemons use.
 func TestTakeUp(t *testing.T) {
 	cat := catalog.NewCatalog(1, nil, []catalog.Service{{Name: "pool", Engine: &catalog.Engine{Slots: 24, CapacityTokens: 20000}}}, nil)
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -95,22 +96,26 @@
 }
 
 // Before returns the number of peers at which requests of a service and priority wait and which go before a daemon at an endpoint. The
-// order is different at each endpoint and the same for all daemons. With users, only the daemons named there count.
+// order is different at each endpoint and in each turnSlice, and the same for all daemons. With users, only the daemons named there count.
 func (wtg *Waiting) Before(now time.Time, service string, priority int, users []string, endpoint, name string) int {
-	count, own := 0, turnHash(endpoint, name)
+	count, own := 0, turnHash(now, endpoint, name)
 	for peer, per := range wtg.peers {
 		if now.Sub(per.at) >= waitingLifetime || per.tokens[service][priority] == 0 || users != nil && !slices.Contains(users, peer) {
 			continue
 		}
-		if turnHash(endpoint, peer) < own {
+		if turnHash(now, endpoint, peer) < own {
 			count++
 		}
 	}
 	return count
 }
 
-func turnHash(endpoint, name string) uint64 {
-	return xxhash.Sum64String(endpoint + "\x00" + name)
+// turnSlice is the time for which the order of the daemons at an endpoint stays the same: with one order for all time, the second
+// daemon got no turn in 18 s beside a busy one. Clocks differ by some milliseconds; a daemon in the wrong slice costs one turn only.
+const turnSlice = time.Second
+
+func turnHash(now time.Time, endpoint, name string) uint64 {
+	return xxhash.Sum64String(endpoint + "\x00" + name + "\x00" + strconv.FormatInt(now.UnixNano()/int64(turnSlice), 10))
 }
 
 // Backlog returns the tokens of a service that wait at peers with the given or a higher priority, weighted by the part of its
