Take back the charge for sends that have not run

Cause: an organisation was charged for each send of a request, and beginStream dropped the turn by which a charge is taken back, so that sends that reached no endpoint or were not run stayed charged. The request keeps the charged ticket, and both outcomes take the charge back. A stream without a charge is not corrected at its end.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -139,6 +139,9 @@
 
 // shouldRetry records the outcome of a send and reports whether the request may be sent to another endpoint.
 func (srv *Server) shouldRetry(ctx context.Context, rqs *request, trs *tries, res outcome) bool {
+	if res == outcomeUnreached || res == outcomeNotRun {
+		srv.refund(rqs)
+	}
 	switch res {
 	case outcomeUnreached:
 		trs.unreached++
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -165,7 +165,7 @@
 		case cho.Endpoint == nil:
 			return cho
 		}
-		rqs.granted = &out
+		rqs.granted, rqs.charged = &out, out.Ticket
 		if srv.permitRequest(ctx, rqs, cho.Endpoint) {
 			return cho
 		}
@@ -294,11 +294,23 @@
 // releaseGranted takes back the work of a request that got its turn but was not sent.
 func (srv *Server) releaseGranted(rqs *request) {
 	if rqs.granted != nil {
-		srv.takeBack(rqs.granted)
+		srv.end(rqs.granted.Flight)
 		rqs.granted = nil
+		srv.refund(rqs)
 	}
 }
 
+// refund takes back what the request's organisation was charged for a send that has run nowhere.
+func (srv *Server) refund(rqs *request) {
+	if rqs.charged == nil {
+		return
+	}
+	srv.mutex.Lock()
+	defer srv.mutex.Unlock()
+	srv.Scheduler.Refund(srv.Now(), rqs.charged)
+	rqs.charged = nil
+}
+
 // takeBack ends the work of a request that got its turn but was not sent.
 func (srv *Server) takeBack(out *scheduler.Outcome) {
 	srv.end(out.Flight)
@@ -323,7 +335,7 @@
 // noteEnded tells the scheduler of a stream that has ended.
 func (one *run) noteEnded(complete bool) {
 	srv := one.server
-	if srv.Scheduler == nil || one.sends == 0 {
+	if srv.Scheduler == nil || one.sends == 0 || one.charged == nil {
 		return
 	}
 	now := srv.Now()
--- a/gateway/queue_test.go
+++ b/gateway/queue_test.go
@@ -219,6 +219,36 @@
 	}
 }
 
+// Guards against an organisation that is charged once more for each send that has run nowhere, or gets back more than its charge.
+func TestSendsThatHaveNotRunAreNotCharged(t *testing.T) {
+	for _, cas := range []struct {
+		res  outcome
+		want float64
+	}{{outcomeNotRun, 0}, {outcomeUnreached, 0}, {outcomeUnknown, 0.5}} {
+		srv, snp := queueServer()
+		srv.Scheduler.Queue.Served(srv.Now(), "two", 100)
+		rqs := streamRequest(srv, 4*time.Second)
+		rqs.organisation = "one"
+		rqs.PromptTokens = 80
+		one := &run{request: rqs, server: srv, work: dispatch.Work{Tokens: 100, Prefill: 80}}
+		edp := snp.Fleet.Endpoints["e"]
+		srv.awaitTurn(t.Context(), rqs, one.work, false)
+		flt, _ := srv.beginStream(rqs, &edp, one.work)
+		srv.end(flt)
+		rqs.sends++
+		srv.shouldRetry(t.Context(), rqs, &tries{}, cas.res)
+		if cas.want == 0 {
+			one.noteEnded(false)
+		}
+		if got := srv.Scheduler.Queue.Share("one"); got != cas.want {
+			t.Errorf("%s: got share %.2f of the tokens served, want %.2f", cas.res, got, cas.want)
+		}
+		if got, want := srv.Scheduler.Queue.Share("two"), 1-cas.want; got != want {
+			t.Errorf("%s: got share %.2f of the other organisation, want %.2f", cas.res, got, want)
+		}
+	}
+}
+
 // Guards against a call that waits for a plain endpoint although one is free, or for longer than a third of its target.
 func TestCallsWaitShortly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -154,6 +154,8 @@
 	granted    *scheduler.Outcome
 	runs       time.Duration
 	retryAfter time.Duration
+	// charged is the ticket for which the organisation was charged; nil if the charge was taken back.
+	charged *scheduler.Ticket
 	// status is the HTTP status of the answer that was relayed to the caller; 0 if the answer is incomplete.
 	status int
 }
