Ask for one permit at a time for a limited endpoint

Cause: a pass gave all waiting requests their turn at an endpoint that names a limit, all asked for a permit at once, one got it and the rest were submitted again. While a request that got its turn asks for a permit, no other one is sent to that endpoint; the queue is woken by the answer. The same holds for cold endpoints with a rate.

--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -166,7 +166,9 @@
 			return cho
 		}
 		rqs.granted, rqs.charged = &out, out.Ticket
-		if srv.permitRequest(ctx, rqs, cho.Endpoint) {
+		granted := srv.permitRequest(ctx, rqs, cho.Endpoint)
+		srv.noteAsked(out.Ticket)
+		if granted {
 			return cho
 		}
 		srv.releaseGranted(rqs)
@@ -176,6 +178,16 @@
 	}
 }
 
+// noteAsked lets the other waiting requests ask for a permit.
+func (srv *Server) noteAsked(tkt *scheduler.Ticket) {
+	srv.mutex.Lock()
+	asked := srv.Scheduler.Asked(tkt)
+	srv.mutex.Unlock()
+	if asked {
+		srv.WakeQueue()
+	}
+}
+
 // newTicket returns the ticket of a request. Its target counts from the caller's first attempt.
 func (srv *Server) newTicket(rqs *request, wrk dispatch.Work, plain bool) *scheduler.Ticket {
 	rou := rqs.route
@@ -246,6 +258,7 @@
 	if !waited {
 		out = <-trn.outcome
 		if out.Flight != nil {
+			srv.noteAsked(trn.Ticket)
 			srv.takeBack(&out)
 		}
 	}
--- a/gateway/queue_test.go
+++ b/gateway/queue_test.go
@@ -14,6 +14,7 @@
 
 	"papayacroft/catalog"
 	"papayacroft/dispatch"
+	"papayacroft/exchange"
 	"papayacroft/scheduler"
 )
 
@@ -249,6 +250,50 @@
 	}
 }
 
+// Guards against all waiting requests that ask at once for the one permit of an endpoint with a limit: 20 streams asked 155 times in 2 s.
+func TestOnePermitIsAskedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		srv, snp := queueServer()
+		snp.Fleet.Endpoints["e"] = catalog.Endpoint{ID: "e", Service: "pool", State: catalog.StateReady, Slots: 100}
+		ctx, cancel := context.WithCancel(t.Context())
+		go srv.RunQueue(ctx)
+		srv.Throttle.Learn("e", dispatch.RateLimit{PerSecond: 8, Named: true, At: srv.Now()})
+		var asks, outstanding, most, sent int
+		srv.AskPermit = func(_ context.Context, req *exchange.PermitRequest) (*exchange.PermitReply, error) {
+			srv.mutex.Lock()
+			asks++
+			outstanding++
+			most = max(most, outstanding)
+			srv.mutex.Unlock()
+			time.Sleep(time.Millisecond)
+			rep := srv.GrantPermit(req)
+			srv.mutex.Lock()
+			outstanding--
+			srv.mutex.Unlock()
+			return rep, nil
+		}
+		for range 20 {
+			go func() {
+				rqs := streamRequest(srv, 4*time.Second)
+				cho := srv.awaitTurn(ctx, rqs, dispatch.Work{Tokens: 100}, false)
+				srv.mutex.Lock()
+				defer srv.mutex.Unlock()
+				if cho.Endpoint != nil {
+					sent++
+				}
+			}()
+		}
+		time.Sleep(2 * time.Second)
+		srv.mutex.Lock()
+		if most != 1 || asks > 40 || sent < 8 {
+			t.Errorf("got %d asks, %d at once, %d streams sent; want 40 at most, 1, 8 at least", asks, most, sent)
+		}
+		srv.mutex.Unlock()
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against a call that waits for a plain endpoint although one is free, or for longer than a third of its target.
 func TestCallsWaitShortly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -74,6 +74,8 @@
 	Value any
 
 	item *admission.Item
+	// asks is the endpoint for which the ticket asks for a permit; empty if it doesn't.
+	asks string
 	// free has the endpoints that had capacity for the ticket in the last pass.
 	free map[string]freeSince
 	// position is the number of waiting requests in front of the ticket at its arrival, and sentBefore that of the requests that
@@ -130,7 +132,9 @@
 	NextAt time.Time
 
 	runs runTimes
-	sent int
+	// asking are the endpoints for which a ticket that was sent asks for a permit.
+	asking map[string]bool
+	sent   int
 	// passes counts the calls of sendWaiting.
 	passes int
 }
@@ -141,7 +145,7 @@
 	que.ByTarget = true
 	return &Scheduler{
 		Balancer: bal, Queue: que, Waiting: dispatch.NewWaiting(), Lengths: admission.NewPredictor(),
-		Level: admission.NewLevel(), runs: runTimes{},
+		Level: admission.NewLevel(), runs: runTimes{}, asking: map[string]bool{},
 	}
 }
 
@@ -225,7 +229,7 @@
 		cho, isHead := sch.choose(now, rnd, vew, tkt, heads[itm.Resource])
 		switch {
 		case cho.Endpoint != nil:
-			outcomes = append(outcomes, sch.send(now, itm, cho))
+			outcomes = append(outcomes, sch.send(now, vew, itm, cho))
 			// The charge of its organisation changes the order.
 			order = sch.Queue.Order(now)
 		case cho.Reason != dispatch.ReasonFull && cho.Reason != dispatch.ReasonLimited:
@@ -264,6 +268,9 @@
 	}
 	usual := sch.runs.mean(req.Service)
 	req.Veto = func(edp *catalog.Endpoint) bool {
+		if sch.asking[edp.ID] {
+			return true
+		}
 		for _, head := range heads {
 			if sch.Balancer.Delays(now, vew.Catalog, vew.Fleet, edp, req, &head.Request, tkt.Runs, usual) {
 				return true
@@ -353,16 +360,32 @@
 }
 
 // send counts the work of an item at its endpoint and charges its organisation.
-func (sch *Scheduler) send(now time.Time, itm *admission.Item, cho dispatch.Choice) Outcome {
+func (sch *Scheduler) send(now time.Time, vew *View, itm *admission.Item, cho dispatch.Choice) Outcome {
 	sch.Queue.Remove(itm)
 	tkt := itm.Value.(*Ticket)
 	sch.Queue.Served(now, tkt.Organisation, tkt.charge())
 	out := sch.outcome(now, itm, cho)
 	out.Flight = sch.Balancer.Begin(cho.Endpoint.ID, tkt.Request.Work)
 	sch.sent++
+	svc := vew.Catalog.Services[cho.Endpoint.Service]
+	if sch.Balancer.Throttle.Limit(now, cho.Endpoint.ID).Named || sch.Balancer.Cold.Left(now, &vew.Fleet.Evacuations, cho.Endpoint, &svc) > 0 {
+		sch.asking[cho.Endpoint.ID], tkt.asks = true, cho.Endpoint.ID
+	}
 	return out
 }
 
+// Asked records that a ticket that was sent has the answer on its permit, or needs none any more. Until then no other ticket is sent to
+// an endpoint that names a limit or is cold: all waiting ones would ask at once, and one would get the permit. It reports whether the
+// others may be sent now.
+func (sch *Scheduler) Asked(tkt *Ticket) bool {
+	if tkt.asks == "" {
+		return false
+	}
+	delete(sch.asking, tkt.asks)
+	tkt.asks = ""
+	return true
+}
+
 // drop removes an item from the queue and refuses it.
 func (sch *Scheduler) drop(now time.Time, rnd *rand.Rand, vew *View, itm *admission.Item, cho dispatch.Choice, atOnce bool) Outcome {
 	sch.Queue.Remove(itm)
