Space passes over the queue and bound what peers report

Cause: each event and each request that began to wait caused a pass, and what a peer reports as waiting was taken as it came. Passes are 2 ms apart at least, a new request wakes the queue only if it may find capacity before the next pass, and reports count from 0 up to 256 times the largest request that fits an engine. Result: TestPassesAreSpaced got 20 passes for 20 new requests (12 at most wanted) and 1000 for 1000 events in 100 ms (52 at most) before, and passes; TestWaitingIsBounded passes (new function); all tests of gateway, scheduler and dispatch pass.

--- a/dispatch/room_test.go
+++ b/dispatch/room_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -70,6 +71,23 @@
 	}
 }
 
+// Guards against a peer whose report refuses all requests here, or makes a sum negative.
+func TestWaitingIsBounded(t *testing.T) {
+	cat := catalog.NewCatalog(1, nil, []catalog.Service{{Name: "pool", Engine: &catalog.Engine{CapacityTokens: 1000}}}, nil)
+	for _, cas := range []struct {
+		service         string
+		tokens, bounded int
+	}{
+		{"pool", 500, 500}, {"pool", 256 * 950, 256 * 950}, {"pool", math.MaxInt, 256 * 950}, {"pool", -1, 0}, {"pool", 0, 0},
+		{"other", math.MaxInt, math.MaxInt32}, {"other", -1, 0},
+	} {
+		got := WaitingTokens{cas.service: {2: cas.tokens}}.Bounded(cat, 256)
+		if got[cas.service][2] != cas.bounded || (len(got) == 0) != (cas.bounded == 0) {
+			t.Errorf("%d tokens of %s: got %v, want %d", cas.tokens, cas.service, got, cas.bounded)
+		}
+	}
+}
+
 // Daemons must agree who goes first at an engine, exactly one of them must, and it must not be the same one everywhere.
 func TestTurnsAgree(t *testing.T) {
 	names := []string{"a", "b", "c", "d", "f"}
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -1,11 +1,14 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"papayacroft/catalog"
 )
 
 // waitingLifetime is how long the waiting work that a peer reported counts.
@@ -19,6 +22,33 @@
 // priority.
 type WaitingTokens map[string]map[int]int
 
+// maxUnbounded limits the waiting tokens of a service whose engines' memory is not known, so that sums don't overflow.
+const maxUnbounded = math.MaxInt32
+
+// Bounded returns the tokens that a daemon can have waiting, of what it reports: none below 0, and no more than so many of the largest
+// requests that fit an engine.
+func (tokens WaitingTokens) Bounded(cat *catalog.Catalog, requests int) WaitingTokens {
+	bounded := WaitingTokens{}
+	for service, priorities := range tokens {
+		most := maxUnbounded
+		if cat != nil {
+			if largest := LargestWork(cat.Services[service].Engine); largest < most/requests {
+				most = largest * requests
+			}
+		}
+		for priority, count := range priorities {
+			if count <= 0 {
+				continue
+			}
+			if bounded[service] == nil {
+				bounded[service] = map[int]int{}
+			}
+			bounded[service][priority] = min(count, most)
+		}
+	}
+	return bounded
+}
+
 // Waiting is what other daemons reported of the requests that wait there.
 type Waiting struct {
 	peers map[string]peerWaiting
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -7,8 +7,10 @@
 
 	"github.com/sirupsen/logrus"
 
+	"papayacroft/admission"
 	"papayacroft/catalog"
 	"papayacroft/dispatch"
+	"papayacroft/retry"
 	"papayacroft/scheduler"
 )
 
@@ -22,6 +24,8 @@
 	queueFallback = 100 * time.Millisecond
 	// minQueuePause is the shortest time between two passes that no event has caused.
 	minQueuePause = 5 * time.Millisecond
+	// passSpacing is the shortest time between two passes. Each takes about 1 ms with a full queue, and events come in bursts.
+	passSpacing = 2 * time.Millisecond
 	// preemptionPauses is the pause between two events, as a multiple of the pause target, above which a stream may have been
 	// preempted.
 	preemptionPauses = 4
@@ -57,7 +61,7 @@
 	if srv.Scheduler == nil {
 		return
 	}
-	timer := time.NewTimer(queueFallback)
+	timer := time.NewTimer(srv.passQueue())
 	defer timer.Stop()
 	for {
 		select {
@@ -67,6 +71,7 @@
 		case <-timer.C:
 		}
 		timer.Reset(srv.passQueue())
+		retry.Sleep(ctx, passSpacing)
 	}
 }
 
@@ -83,18 +88,21 @@
 
 // passQueue gives waiting requests their turn and returns the time until the next pass, if no event comes before.
 func (srv *Server) passQueue() time.Duration {
-	if srv.queued.Load() == 0 {
-		return queueFallback
+	var vew *scheduler.View
+	if srv.queued.Load() > 0 {
+		vew = srv.queueView()
 	}
-	vew := srv.queueView()
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
-	now := srv.Now()
-	srv.settle(srv.Scheduler.Pass(now, newRand(), vew))
-	if next := srv.Scheduler.NextAt; !next.IsZero() {
-		return min(queueFallback, max(minQueuePause, next.Sub(now)))
+	now, wait := srv.Now(), queueFallback
+	if vew != nil {
+		srv.settle(srv.Scheduler.Pass(now, newRand(), vew))
+		if next := srv.Scheduler.NextAt; !next.IsZero() {
+			wait = min(queueFallback, max(minQueuePause, next.Sub(now)))
+		}
 	}
-	return queueFallback
+	srv.passDue = now.Add(wait)
+	return wait
 }
 
 // StopQueue refuses all waiting requests, and from now on those that would have to wait.
@@ -234,9 +242,13 @@
 	vew := srv.queueView()
 	srv.mutex.Lock()
 	srv.settle(srv.Scheduler.Submit(srv.Now(), newRand(), vew, tkt))
+	next := srv.Scheduler.NextAt
+	early := !next.IsZero() && next.Before(srv.passDue)
 	srv.mutex.Unlock()
-	// RunQueue sets its timer for the new request.
-	srv.WakeQueue()
+	if early {
+		// RunQueue sets its timer for the new request.
+		srv.WakeQueue()
+	}
 	var out scheduler.Outcome
 	select {
 	case out = <-trn.outcome:
@@ -376,6 +388,7 @@
 
 // SetPeerWaiting records the work that waits at another daemon.
 func (srv *Server) SetPeerWaiting(now time.Time, peer string, tokens dispatch.WaitingTokens) {
+	tokens = tokens.Bounded(srv.Snapshots.Snapshot().Catalog, admission.DefaultCapacity)
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
 	if srv.Scheduler.Waiting.Set(now, peer, tokens) {
--- a/gateway/queue_test.go
+++ b/gateway/queue_test.go
@@ -294,6 +294,41 @@
 	})
 }
 
+// Guards against a pass for each event of a burst, and for each request that begins to wait, which has just been compared with all engines.
+func TestPassesAreSpaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		srv, _ := queueServer()
+		ctx, cancel := context.WithCancel(t.Context())
+		go srv.RunQueue(ctx)
+		srv.begin("e", dispatch.Work{Tokens: 100})
+		notes := 0
+		srv.OnWaiting = func() { notes++ }
+		count := func() int {
+			srv.mutex.Lock()
+			defer srv.mutex.Unlock()
+			return notes
+		}
+		for range 20 {
+			rqs := streamRequest(srv, 4*time.Second)
+			go srv.awaitOutcome(ctx, rqs, srv.newTicket(rqs, dispatch.Work{Tokens: 100}, false))
+			time.Sleep(50 * time.Millisecond)
+		}
+		if got := count() - 20; got > 12 {
+			t.Errorf("got %d passes in 1 s in which 20 requests began to wait, want 12 at most", got)
+		}
+		before := count()
+		for range 1000 {
+			srv.WakeQueue()
+			time.Sleep(100 * time.Microsecond)
+		}
+		if got := count() - before; got > 52 {
+			t.Errorf("got %d passes in 100 ms with an event each 0.1 ms, want 52 at most", got)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against a call that waits for a plain endpoint although one is free, or for longer than a third of its target.
 func TestCallsWaitShortly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -98,6 +98,8 @@
 	// queued is the number of requests in the Scheduler's queue, and wakes makes RunQueue look at them.
 	queued atomic.Int64
 	wakes  chan struct{}
+	// passDue is when RunQueue looks at them without an event.
+	passDue time.Time
 	// drainingSince is the time of the stop signal in Unix nanoseconds; 0 until the signal arrives.
 	drainingSince atomic.Int64
 	// ending is cancelled by End.
