--- a/gateway/queue_test.go
+++ b/gateway/queue_test.go
@@ -14,6 +14,7 @@
 
 	"papayacroft/catalog"
 	"papayacroft/dispatch"
+	"papayacroft/exchange"
 	"papayacroft/scheduler"
 )
 
@@ -219,6 +220,115 @@
 	}
 }
 
+// Guards against an organisation that is charged once more for each send that has run nowhere, or gets back more than its charge.
+func TestSendsThatHaveNotRunAreNotCharged(t *testing.T) {
+	for _, cas := range []struct {
+		res  outcome
+		want float64
+	}{{outcomeNotRun, 0}, {outcomeUnreached, 0}, {outcomeUnknown, 0.5}} {
+		srv, snp := queueServer()
+		srv.Scheduler.Queue.Served(srv.Now(), "two", 100)
+		rqs := streamRequest(srv, 4*time.Second)
+		rqs.organisation = "one"
+		rqs.PromptTokens = 80
+		one := &run{request: rqs, server: srv, work: dispatch.Work{Tokens: 100, Prefill: 80}}
+		edp := snp.Fleet.Endpoints["e"]
+		srv.awaitTurn(t.Context(), rqs, one.work, false)
+		flt, _ := srv.beginStream(rqs, &edp, one.work)
+		srv.end(flt)
+		rqs.sends++
+		srv.shouldRetry(t.Context(), rqs, &tries{}, cas.res)
+		if cas.want == 0 {
+			one.noteEnded(false)
+		}
+		if got := srv.Scheduler.Queue.Share("one"); got != cas.want {
+			t.Errorf("%s: got share %.2f of the tokens served, want %.2f", cas.res, got, cas.want)
+		}
+		if got, want := srv.Scheduler.Queue.Share("two"), 1-cas.want; got != want {
+			t.Errorf("%s: got share %.2f of the other organisation, want %.2f", cas.res, got, want)
+		}
+	}
+}
+
+// Guards against all waiting requests that ask at once for the one permit of an endpoint with a limit: 20 streams asked 155 times in 2 s.
+func TestOnePermitIsAskedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		srv, snp := queueServer()
+		snp.Fleet.Endpoints["e"] = catalog.Endpoint{ID: "e", Service: "pool", State: catalog.StateReady, Slots: 100}
+		ctx, cancel := context.WithCancel(t.Context())
+		go srv.RunQueue(ctx)
+		srv.Throttle.Learn("e", dispatch.RateLimit{PerSecond: 8, Named: true, At: srv.Now()})
+		var asks, outstanding, most, sent int
+		srv.AskPermit = func(_ context.Context, req *exchange.PermitRequest) (*exchange.PermitReply, error) {
+			srv.mutex.Lock()
+			asks++
+			outstanding++
+			most = max(most, outstanding)
+			srv.mutex.Unlock()
+			time.Sleep(time.Millisecond)
+			rep := srv.GrantPermit(req)
+			srv.mutex.Lock()
+			outstanding--
+			srv.mutex.Unlock()
+			return rep, nil
+		}
+		for range 20 {
+			go func() {
+				rqs := streamRequest(srv, 4*time.Second)
+				cho := srv.awaitTurn(ctx, rqs, dispatch.Work{Tokens: 100}, false)
+				srv.mutex.Lock()
+				defer srv.mutex.Unlock()
+				if cho.Endpoint != nil {
+					sent++
+				}
+			}()
+		}
+		time.Sleep(2 * time.Second)
+		srv.mutex.Lock()
+		if most != 1 || asks > 40 || sent < 8 {
+			t.Errorf("got %d asks, %d at once, %d streams sent; want 40 at most, 1, 8 at least", asks, most, sent)
+		}
+		srv.mutex.Unlock()
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a pass for each event of a burst, and for each request that begins to wait, which has just been compared with all engines.
+func TestPassesAreSpaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		srv, _ := queueServer()
+		ctx, cancel := context.WithCancel(t.Context())
+		go srv.RunQueue(ctx)
+		srv.begin("e", dispatch.Work{Tokens: 100})
+		notes := 0
+		srv.OnWaiting = func() { notes++ }
+		count := func() int {
+			srv.mutex.Lock()
+			defer srv.mutex.Unlock()
+			return notes
+		}
+		for range 20 {
+			rqs := streamRequest(srv, 4*time.Second)
+			go srv.awaitOutcome(ctx, rqs, srv.newTicket(rqs, dispatch.Work{Tokens: 100}, false))
+			time.Sleep(50 * time.Millisecond)
+		}
+		if got := count() - 20; got > 12 {
+			t.Errorf("got %d passes in 1 s in which 20 requests began to wait, want 12 at most", got)
+		}
+		before := count()
+		for range 1000 {
+			srv.WakeQueue()
+			time.Sleep(100 * time.Microsecond)
+		}
+		if got := count() - before; got > 52 {
+			t.Errorf("got %d passes in 100 ms with an event each 0.1 ms, want 52 at most", got)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against a call that waits for a plain endpoint although one is free, or for longer than a third of its target.
 func TestCallsWaitShortly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
