--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -95,7 +95,11 @@
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
 	now, wait := srv.Now(), queueFallback
-	if vew != nil {
+	switch {
+	case vew == nil && srv.Scheduler.Queue.Len() > 0:
+		// A request has begun to wait since the number of waiting ones was read; it did not know when this pass would end.
+		wait = minQueuePause
+	case vew != nil:
 		srv.settle(srv.Scheduler.Pass(now, newRand(), vew))
 		if next := srv.Scheduler.NextAt; !next.IsZero() {
 			wait = min(queueFallback, max(minQueuePause, next.Sub(now)))
