--- a/dispatch/cold.go
+++ b/dispatch/cold.go
@@ -68,7 +68,7 @@
 	return std.until.After(now) && std.until.Sub(std.sharedUntil) > coldNewsMargin
 }
 
-// Shared records that other daemons are told what an endpoint stated.
+// Shared records that the time stated by an endpoint has been sent to the other daemons.
 func (cld *Cold) Shared(id string) {
 	std := cld.stated[id]
 	std.sharedUntil = std.until
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -341,7 +341,7 @@
 	}
 	for id, eng := range spd.engines {
 		edp, ok := flt.Endpoints[id]
-		// A start that only peers have told of is kept for as long as they do; it may not have reached the fleet view.
+		// A start that only peers report is kept while they report it; it may not have reached the fleet view yet.
 		if !ok || edp.StartedAt > eng.bornAt || edp.StartedAt < eng.bornAt && !eng.isFresh(now) {
 			delete(spd.engines, id)
 			continue
