--- a/review/_drive/prefixes.go
+++ b/review/_drive/prefixes.go
@@ -30,6 +30,9 @@
 
 // playPrefixes sends crowds of such requests to two machines in turn, and an ordinary request beside each.
 func playPrefixes(wld *world, trouble bool) (verdict, error) {
+	if err := checkDescriptors(); err != nil {
+		return verdict{}, err
+	}
 	for _, zone := range []string{"akl-a", "akl-b"} {
 		if err := wld.addEngine("i-"+newID()[:8], "desk", zone, 6, answerPlain); err != nil {
 			return verdict{}, err
--- a/review/_drive/trickle.go
+++ b/review/_drive/trickle.go
@@ -31,6 +31,9 @@
 // playTrickle holds the connections of a machine with bodies of legal size that arrive piece by piece, and lets ordinary clients
 // open new connections.
 func playTrickle(wld *world, trouble bool) (verdict, error) {
+	if err := checkDescriptors(); err != nil {
+		return verdict{}, err
+	}
 	for _, zone := range []string{"akl-a", "akl-b"} {
 		if err := wld.addEngine("i-"+newID()[:8], "desk", zone, 6, answerPlain); err != nil {
 			return verdict{}, err
--- a/review/_drive/world.go
+++ b/review/_drive/world.go
@@ -267,6 +267,21 @@
 	return nil
 }
 
+// minDescriptors is what a crowd and the connections of its machine need in this process.
+const minDescriptors = 4096
+
+// checkDescriptors returns an error if this process may not open enough connections for a crowd.
+func checkDescriptors() error {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return err
+	}
+	if limit.Cur < minDescriptors {
+		return fmt.Errorf("this process may have %d descriptors; the case needs %d", limit.Cur, minDescriptors)
+	}
+	return nil
+}
+
 // residentMB returns the anonymous memory of a process in MB; 0 if it has ended.
 func residentMB(pid int) float64 {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
