--- a/review/_drive/client.go
+++ b/review/_drive/client.go
@@ -28,6 +28,9 @@
 	// whole is true if the answer ended regularly.
 	whole bool
 	err   error
+	// stopped is true if the request was sent after a SIGTERM of its machine, and afterStop how long after the last one.
+	stopped   bool
+	afterStop time.Duration
 }
 
 func newID() string {
--- a/review/_drive/late_stream.go
+++ b/review/_drive/late_stream.go
@@ -9,17 +9,25 @@
 )
 
 const (
-	// blurbEvents and blurbPause make a generation of 5 s, each pause within gapAimMs.
-	blurbEvents = 34
-	blurbPause  = 150 * time.Millisecond
+	// A generation has blurbEvents events, the first one after blurbFirst and the others after blurbPause each. The sheet has up to
+	// 14.7 events, an aim of 1,500 ms for the first one and pauses of up to 180 ms.
+	blurbEvents = 14
+	blurbFirst  = 1400 * time.Millisecond
+	blurbPause  = 175 * time.Millisecond
 	// blurbDeadline is the deadline of the clients and timeoutMs of the route.
 	blurbDeadline = 6 * time.Second
 	// excusedTime is the time after a SIGTERM up to which the rule excuses requests that still run in the last sixth of graceS.
 	excusedTime = 3 * time.Second
 	// rollGap is gap_s of a roll_term.
 	rollGap = time.Second
-	// clientGap is the time between two requests of all clients of the zone.
-	clientGap = 100 * time.Millisecond
+	// clientGap is the time between two requests of all clients; the sheet has 4.85 a second.
+	clientGap = 206 * time.Millisecond
+	// The machines are stopped in turn rolls times, the next time rollPause after the last stop.
+	rolls           = 2
+	stoppedMachines = 2
+	firstRoll       = 3 * time.Second
+	rollPause       = 13 * time.Second
+	sendingTime     = 30 * time.Second
 )
 
 // balancer is the platform's entry: it asks for readiness once a second and takes a machine out after two misses.
@@ -74,9 +82,14 @@
 	return from[rand.IntN(len(from))], len(up)
 }
 
-// playLateStream stops two of the three machines of a zone in turn while clients ask for streams that take 5 s.
+// playLateStream stops two of the three machines of a zone in turn while clients ask for streams that take 3.7 s.
 func playLateStream(wld *world, trouble bool) (verdict, error) {
 	answer := func(eng *engine, arr *arrival, wri http.ResponseWriter, req *http.Request) {
+		select {
+		case <-time.After(blurbFirst):
+		case <-req.Context().Done():
+			return
+		}
 		eng.stream(arr, wri, req, blurbEvents, func(int) time.Duration { return blurbPause })
 	}
 	for _, zone := range []string{"akl-a", "akl-a", "akl-a", "akl-b", "akl-b", "akl-b"} {
@@ -101,8 +114,12 @@
 	var sent sync.WaitGroup
 	if trouble {
 		sent.Go(func() {
-			time.Sleep(3 * time.Second)
-			for _, dmn := range wld.daemons[:2] {
+			time.Sleep(firstRoll)
+			for number := range rolls * stoppedMachines {
+				if number > 0 && number%stoppedMachines == 0 {
+					time.Sleep(rollPause)
+				}
+				dmn := wld.daemons[number%stoppedMachines]
 				sent.Go(func() {
 					dmn.stop()
 					time.Sleep(restartDelay)
@@ -114,13 +131,15 @@
 			}
 		})
 	}
-	for until := time.Now().Add(16 * time.Second); time.Now().Before(until); time.Sleep(clientGap) {
+	for until := time.Now().Add(sendingTime); time.Now().Before(until); time.Sleep(clientGap) {
 		dmn, up := bal.pick("akl-a")
 		sent.Go(func() {
+			elapsed, stopped := dmn.sinceStop(time.Now())
 			rep := wld.stream(dmn, "/blurb/2f", blurbDeadline, 2200, 4*blurbEvents)
-			elapsed, stopped := dmn.sinceStop(rep.sentAt)
+			rep.afterStop = elapsed
 			when := "before a SIGTERM"
 			if stopped {
+				rep.stopped = true
 				when = fmt.Sprintf("%.3f s after the last SIGTERM", elapsed.Seconds())
 			}
 			wld.note("%s; sent %s at %.3f with %d of 3 machines of the zone in rotation; endpoints: %v", rep, when, rep.sentAt.Sub(wld.began).Seconds(), up, wld.passedOn(rep.id))
@@ -137,7 +156,6 @@
 	total, whole, refused, excused, cut := 0, 0, 0, 0, 0
 	for rep := range replies {
 		total++
-		elapsed, stopped := rep.daemon.sinceStop(rep.sentAt)
 		switch {
 		case rep.whole && rep.status == http.StatusOK && rep.events == blurbEvents:
 			whole++
@@ -145,7 +163,7 @@
 			refused++
 		case !wld.hasRun(rep.id) || rep.endAt.Sub(rep.sentAt) >= blurbDeadline-100*time.Millisecond:
 			excused++
-		case !stopped || elapsed <= excusedTime || elapsed > graceTime+time.Second:
+		case !rep.stopped || rep.afterStop <= excusedTime || rep.afterStop > graceTime+time.Second:
 			excused++
 		default:
 			cut++
