Reject answers whose status HTTP does not define

Seen by callers: of an endpoint that answered with status 000, 099 or -00, the caller of a gateway or an entry daemon got a closed connection, as writing that status panicked. Status 600 and 999 were passed on as answers. Status 000 with Not-Executed became 503, which promises that the request has not run. After an unasked 101, the bytes that followed were passed on as the answer.

Cause: http.ReadResponse takes any three characters for a status that strconv.Atoi reads as a number from 0 up, and nothing checked the number afterwards. The same holds for http.Transport, which reads the answers of endpoints, the store, the log, the VM list and the weight store; those other than service calls took the status for a failure.

Change: package answer reads the final head of an answer and rejects a status outside 200 to 599 (RFC 9110, section 15); 101 ends no request, as none asks for another protocol. Link uses it directly, the HTTP clients as a transport. A rejected answer is one that was lost: the request may have run, so it goes to another endpoint only if it may be repeated, and gets 502 otherwise.

--- /dev/null
+++ b/answer/head.go
@@ -0,0 +1,52 @@
+// Package answer reads the heads of HTTP/1.1 answers and rejects those that RFC 9110 and RFC 9112 do not allow. net/http
+// checks less: it leaves to its user what a status means.
+package answer
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+const (
+	// minFinalStatus is the lowest status of a final answer, maxStatus the highest of all (RFC 9110, section 15).
+	minFinalStatus = 200
+	maxStatus      = 599
+)
+
+// ErrHead is the error of an answer whose head is not valid. Neither its status, nor the length of its body, nor a statement
+// that the request has not run can be relied on.
+var ErrHead = errors.New("the head of the answer is not valid")
+
+// ReadFinal reads the head of the final answer to a request, and skips interim ones. It returns an error that wraps ErrHead, or
+// one of net/http or of the reader.
+func ReadFinal(rdr *bufio.Reader, req *http.Request) (*http.Response, error) {
+	for {
+		res, err := http.ReadResponse(rdr, req)
+		if err != nil {
+			return nil, err
+		}
+		if isInterim(res.StatusCode) {
+			continue
+		}
+		if err := checkFinal(res); err != nil {
+			return nil, err
+		}
+		return res, nil
+	}
+}
+
+// isInterim reports whether another answer follows one with this status.
+func isInterim(status int) bool {
+	return status/100 == 1 && status != http.StatusSwitchingProtocols
+}
+
+// checkFinal returns an error that wraps ErrHead if the head of a final answer is not valid. Status 101 is not, as no request
+// asks for another protocol.
+func checkFinal(res *http.Response) error {
+	if res.StatusCode < minFinalStatus || res.StatusCode > maxStatus {
+		return fmt.Errorf("%w: status %.3q", ErrHead, res.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/answer/transport.go
@@ -0,0 +1,30 @@
+package answer
+
+import "net/http"
+
+// Transport is a http.RoundTripper whose answers all have a valid head. It is for requests that do not ask for another
+// protocol.
+type Transport struct {
+	Base http.RoundTripper
+}
+
+// RoundTrip sends a request. It returns an error that wraps ErrHead if the head of the answer is not valid, and closes the
+// connection then.
+func (trn *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	res, err := trn.Base.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkFinal(res); err != nil {
+		_ = res.Body.Close()
+		// A connection with an answer that has no body may be idle already. What follows there is no answer either.
+		trn.CloseIdleConnections()
+		return nil, err
+	}
+	return res, nil
+}
+
+// CloseIdleConnections closes the connections that are not in use; http.Client calls it.
+func (trn *Transport) CloseIdleConnections() {
+	(&http.Client{Transport: trn.Base}).CloseIdleConnections()
+}
--- /dev/null
+++ b/endpoint/head_test.go
@@ -0,0 +1,57 @@
+package endpoint
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"papayacroft/standin"
+)
+
+// invalidHeads are answers whose heads are not valid.
+var invalidHeads = []string{
+	"HTTP/1.1 000 OK\nContent-Length: 5\n\nhello",
+	"HTTP/1.1 600 OK\nContent-Length: 5\n\nhello",
+	"HTTP/1.1 101 Switching Protocols\n\nhello",
+}
+
+// An answer whose head is not valid must not be taken for one, nor for a statement that nothing has begun.
+func TestInvalidHeads(t *testing.T) {
+	clt := NewClient()
+	calls := map[string]func(ctx context.Context, tgt Target) error{
+		"call": func(ctx context.Context, tgt Target) error {
+			res, err := clt.Call(ctx, tgt, ServiceRequest{Method: http.MethodPost, Path: "/"})
+			if err == nil {
+				_ = res.Body.Close()
+			}
+			return err
+		},
+		"start": func(ctx context.Context, tgt Target) error {
+			stm, err := clt.Start(ctx, tgt, StartRequest{ID: "gen"})
+			if err == nil {
+				stm.Close()
+			}
+			return err
+		},
+		"cancel": func(ctx context.Context, tgt Target) error { return clt.Cancel(ctx, tgt, "gen", 0) },
+		"order":  func(ctx context.Context, tgt Target) error { return clt.Order(ctx, tgt, Order{}) },
+		"load": func(ctx context.Context, tgt Target) error {
+			_, err := clt.Load(ctx, tgt)
+			return err
+		},
+	}
+	for name, call := range calls {
+		for _, data := range invalidHeads {
+			server := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, _ *http.Request) {
+				standin.AnswerRaw(wri, strings.ReplaceAll(data, "\n", "\r\n"))
+			}))
+			err := call(t.Context(), Target{Name: "one", Address: server.Listener.Addr().String()})
+			if edpErr, ok := AsError(err); !ok || edpErr.Reason != ReasonBroken || edpErr.Begun != MayHaveBegun {
+				t.Errorf("%s, %q: got error %v, want one of reason broken that says that the request may have begun", name, data, err)
+			}
+			server.Close()
+		}
+	}
+}
--- a/entry/claimed_test.go
+++ b/entry/claimed_test.go
@@ -116,6 +116,28 @@
 	}
 }
 
+// Guards against an answer with an invalid head that is passed on, to the first attempt or to a later one with the same key.
+func TestInvalidHeadIsUnknown(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\n",
+		"HTTP/1.1 600 OK\r\nContent-Length: 5\r\n\r\n",
+		"HTTP/1.1 101 Switching Protocols\r\n\r\n",
+	} {
+		var runs atomic.Int32
+		srv := newBallotServer(t, func(wri http.ResponseWriter, _ *http.Request) {
+			runs.Add(1)
+			standin.AnswerRaw(wri, head+"hello")
+		})
+		key := uuid.Must(uuid.NewV7()).String()
+		for range 2 {
+			rec := castBallot(t.Context(), srv, key)
+			if rec.Code != http.StatusBadGateway || !strings.Contains(rec.Body.String(), `"outcome":"unknown"`) || runs.Load() != 1 {
+				t.Errorf("%q: got %d runs, status %d: %s; want one run, 502 and unknown", head, runs.Load(), rec.Code, rec.Body)
+			}
+		}
+	}
+}
+
 // A daemon that has not claimed the key does not know whether an earlier attempt ran, so it must not answer notRun.
 // Guards against a caller that repeats a ballot, gets notRun and casts the ballot again under a new key.
 func TestRefusalWithoutClaimIsUnknown(t *testing.T) {
--- a/gateway/hostile_test.go
+++ b/gateway/hostile_test.go
@@ -108,8 +108,14 @@
 	}
 }
 
-// startFront starts a server for the endpoints of each service and returns its address.
+// startFront starts a server for the endpoints of each service and returns its address. It may not repeat requests.
 func startFront(t *testing.T, ctx context.Context, addresses map[string][]string) string {
+	_, front := startServer(t, ctx, addresses)
+	return front
+}
+
+// startServer starts a server for the endpoints of each service and returns it and its address.
+func startServer(t *testing.T, ctx context.Context, addresses map[string][]string) (srv *gateway.Server, front string) {
 	upd := control.EndpointUpdate{}
 	for service, all := range addresses {
 		for _, address := range all {
@@ -137,11 +143,11 @@
 	for len(ctl.Snapshot().Fleet.Endpoints) < len(upd.Endpoints) {
 		time.Sleep(time.Millisecond)
 	}
-	srv := gateway.NewServer()
+	srv = gateway.NewServer()
 	srv.Snapshots, srv.Wire, srv.Logger = ctl, platform.Headers{}, logger
-	front := httptest.NewServer(srv)
-	t.Cleanup(front.Close)
-	return front.Listener.Addr().String()
+	web := httptest.NewServer(srv)
+	t.Cleanup(web.Close)
+	return srv, web.Listener.Addr().String()
 }
 
 // serviceOf returns the service of a route in the scripts' configuration.
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"papayacroft/answer"
 )
 
 const (
@@ -121,22 +123,12 @@
 		defer lnk.CloseWhenSilent(out.HeadTimeout, out.GiveUp).Stop()
 	}
 	lmt := &headLimiter{conn: lnk.conn, left: maxAnswerHeadBytes}
-	res, err := readResponse(bufio.NewReaderSize(lmt, readBufferBytes), req) //nolint:bodyclose // the body ends with the connection
+	res, err := answer.ReadFinal(bufio.NewReaderSize(lmt, readBufferBytes), req) //nolint:bodyclose // the body ends with the connection
 	lmt.done = true
 	lnk.Response = res
 	return err
 }
 
-// readResponse reads the final response; it skips 1xx responses.
-func readResponse(rdr *bufio.Reader, req *http.Request) (*http.Response, error) {
-	for {
-		res, err := http.ReadResponse(rdr, req)
-		if err != nil || res.StatusCode/100 != 1 {
-			return res, err
-		}
-	}
-}
-
 // Close closes the connection; an endpoint that still runs the request may detect that and cancel it.
 func (lnk *Link) Close() {
 	lnk.stop()
--- a/provider/http.go
+++ b/provider/http.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"papayacroft/answer"
 )
 
 const (
@@ -23,6 +25,9 @@
 	responseMargin = 2 * time.Second
 )
 
+// transport is shared by all clients of the platform's services, and so are its connections.
+var transport = &answer.Transport{Base: http.DefaultTransport}
+
 // HTTPLog is a client of the log service over HTTP.
 type HTTPLog struct {
 	URL    string
@@ -33,7 +38,7 @@
 
 // NewHTTPLog returns a client of the log at a base URL.
 func NewHTTPLog(baseURL string) *HTTPLog {
-	return &HTTPLog{URL: baseURL, Client: &http.Client{}, PageBytes: defaultPageBytes}
+	return &HTTPLog{URL: baseURL, Client: &http.Client{Transport: transport}, PageBytes: defaultPageBytes}
 }
 
 // Append adds a record and returns its offset.
@@ -92,7 +97,7 @@
 
 // NewHTTPVMList returns a client of the VM list at a base URL.
 func NewHTTPVMList(baseURL string) *HTTPVMList {
-	return &HTTPVMList{URL: baseURL, Client: &http.Client{Timeout: responseMargin}}
+	return &HTTPVMList{URL: baseURL, Client: &http.Client{Transport: transport, Timeout: responseMargin}}
 }
 
 // VMs returns the current list.
@@ -112,7 +117,7 @@
 
 // NewHTTPWeightStore returns a client of the weight store at a base URL.
 func NewHTTPWeightStore(baseURL string) *HTTPWeightStore {
-	return &HTTPWeightStore{URL: baseURL, Client: &http.Client{Timeout: responseMargin}}
+	return &HTTPWeightStore{URL: baseURL, Client: &http.Client{Transport: transport, Timeout: responseMargin}}
 }
 
 // Acquire requests a permit to load a model's weights; it returns an error if the weight store grants none.
