Reject answers with a blank in the name of a field

Seen by callers: an endpoint's answer with a line such as "X Bad: 1" was passed on as an answer, without the line. With "Content-Length : 5" or "Transfer-Encoding : chunked" the body did not end where the endpoint had ended it, or held the sizes of its chunks. A refusal with such a line was believed: a gateway answered 503, and an entry daemon took the request for one that had not begun.

Cause: textproto.ReadMIMEHeader accepts blanks in names and keeps such names as they are, so that the header of the plain name is missing; net/http's server then leaves the line out of its own answer.

Change: package answer rejects an answer if the name of a field is no token (RFC 9110, section 5.1), by httpguts, which net/http uses for what it sends. Interim answers are checked too where the traffic of a gateway is read. Clients of the store, the log, the VM list, the weight store and of engines' control calls reject such answers as well.

Already handled: control bytes, tabs, NUL, separators and bytes above 127 in names, empty names, lines without a colon and control bytes in values; net/http refuses those heads. Their cases stay.

--- a/answer/head.go
+++ b/answer/head.go
@@ -1,5 +1,5 @@
 // Package answer reads the heads of HTTP/1.1 answers and rejects those that RFC 9110 and RFC 9112 do not allow. net/http
-// checks less: it leaves to its user what a status means.
+// checks less: it takes numbers for a status that HTTP does not define, and names of fields that have blanks.
 package answer
 
 import (
@@ -7,6 +7,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -28,6 +30,9 @@
 			return nil, err
 		}
 		if isInterim(res.StatusCode) {
+			if err := checkFields(res.Header); err != nil {
+				return nil, err
+			}
 			continue
 		}
 		if err := checkFinal(res); err != nil {
@@ -48,5 +53,16 @@
 	if res.StatusCode < minFinalStatus || res.StatusCode > maxStatus {
 		return fmt.Errorf("%w: status %.3q", ErrHead, res.Status)
 	}
+	return checkFields(res.Header)
+}
+
+// checkFields returns an error that wraps ErrHead if the name of a field is not a token (RFC 9110, section 5.1). A field that
+// frames the body, such as "Content-Length : 5", has no effect in net/http then.
+func checkFields(hdr http.Header) error {
+	for name := range hdr {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: field name %.40q", ErrHead, name)
+		}
+	}
 	return nil
 }
--- a/answer/transport.go
+++ b/answer/transport.go
@@ -3,7 +3,7 @@
 import "net/http"
 
 // Transport is a http.RoundTripper whose answers all have a valid head. It is for requests that do not ask for another
-// protocol.
+// protocol. Interim answers are not checked, as http.Transport drops them.
 type Transport struct {
 	Base http.RoundTripper
 }
--- a/endpoint/head_test.go
+++ b/endpoint/head_test.go
@@ -15,6 +15,11 @@
 	"HTTP/1.1 000 OK\nContent-Length: 5\n\nhello",
 	"HTTP/1.1 600 OK\nContent-Length: 5\n\nhello",
 	"HTTP/1.1 101 Switching Protocols\n\nhello",
+	"HTTP/1.1 200 OK\nX Bad: 1\nContent-Length: 5\n\nhello",
+	"HTTP/1.1 200 OK\nTransfer-Encoding : chunked\n\n5\nhello\n0\n\n",
+	"HTTP/1.1 200 OK\nX\x01Bad: 1\nContent-Length: 5\n\nhello",
+	"HTTP/1.1 404 Not Found\nX Bad: 1\nContent-Length: 5\n\nhello",
+	"HTTP/1.1 503 Service Unavailable\nX Bad: 1\nContent-Length: 15\n\n{\"code\":\"full\"}",
 }
 
 // An answer whose head is not valid must not be taken for one, nor for a statement that nothing has begun.
--- a/provider/http_test.go
+++ b/provider/http_test.go
@@ -52,3 +52,28 @@
 		t.Errorf("got next %d, more %t, %d records; want %d, false, %d", got, all.More, len(all.Records), want, records)
 	}
 }
+
+// An answer whose head is not valid must be an error, whatever its body says.
+func TestBrokenHeads(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 000 OK\r\n", "HTTP/1.1 200 OK\r\nX Bad: 1\r\n", "HTTP/1.1 200 OK\r\nX\x01Bad: 1\r\n"} {
+		body := "{}"
+		server := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, _ *http.Request) {
+			standin.AnswerRaw(wri, head+"\r\n"+body)
+		}))
+		log := provider.NewHTTPLog(server.URL)
+		if _, err := log.Append(t.Context(), "stream", nil); err == nil {
+			t.Errorf("append, %q: got no error, want one", head)
+		}
+		if _, err := log.ReadPage(t.Context(), "stream", 0, 0); err == nil {
+			t.Errorf("read, %q: got no error, want one", head)
+		}
+		if err := provider.NewHTTPWeightStore(server.URL).Acquire(t.Context(), "model", 1); err == nil {
+			t.Errorf("acquire, %q: got no error, want one", head)
+		}
+		body = "[]"
+		if _, err := provider.NewHTTPVMList(server.URL).VMs(t.Context()); err == nil {
+			t.Errorf("VM list, %q: got no error, want one", head)
+		}
+		server.Close()
+	}
+}
