Reject answers of another major version than HTTP/1

Seen by callers: an answer that began with HTTP/2.0 or HTTP/0.9 was passed on as one of HTTP/1.1.

Cause: http.ReadResponse accepts every version of the form HTTP/X.Y and reads the rest as HTTP/1.1, though another major version may have another syntax (RFC 9110, section 2.5). It is the same as for the status and the names of fields: nothing checked what it lets through.

Change: package answer rejects other major versions. Later minor versions are still accepted, as the RFC asks.

Evidence: the cases otherVersion and earlierVersion of TestInvalidHeads of gateway failed before, with status 200; they and the case of TestHeads pass now, as does laterMinorVersion before and after.

--- a/answer/head.go
+++ b/answer/head.go
@@ -30,7 +30,7 @@
 			return nil, err
 		}
 		if isInterim(res.StatusCode) {
-			if err := checkFields(res.Header); err != nil {
+			if err := check(res); err != nil {
 				return nil, err
 			}
 			continue
@@ -53,13 +53,17 @@
 	if res.StatusCode < minFinalStatus || res.StatusCode > maxStatus {
 		return fmt.Errorf("%w: status %.3q", ErrHead, res.Status)
 	}
-	return checkFields(res.Header)
+	return check(res)
 }
 
-// checkFields returns an error that wraps ErrHead if the name of a field is not a token (RFC 9110, section 5.1). A field that
-// frames the body, such as "Content-Length : 5", has no effect in net/http then.
-func checkFields(hdr http.Header) error {
-	for name := range hdr {
+// check returns an error that wraps ErrHead if the head of an answer is not valid, whatever its status. The major version must be
+// that of HTTP/1.1, as another one may have another syntax, and the name of each field a token (RFC 9110, sections 2.5 and 5.1): a
+// field that frames the body, such as "Content-Length : 5", has no effect in net/http otherwise.
+func check(res *http.Response) error {
+	if res.ProtoMajor != 1 {
+		return fmt.Errorf("%w: version %q", ErrHead, res.Proto)
+	}
+	for name := range res.Header {
 		if !httpguts.ValidHeaderFieldName(name) {
 			return fmt.Errorf("%w: field name %.40q", ErrHead, name)
 		}
