Reject answers with a control byte in the status line

Seen by callers: an answer whose status line held a control byte after the status, such as NUL or a CR without LF, was passed on as a valid one, with a status line of the gateway's own.

Cause: http.ReadResponse ends the reason phrase at the line's end only and does not look at its bytes. A bare CR makes the element invalid (RFC 9112, section 2.2); here a field of the answer stood behind it and was lost.

Change: package answer rejects a status line whose reason phrase has other bytes than RFC 9112, section 4 allows.

Evidence: the cases controlInReason, nulInReason and returnInReason of TestInvalidHeads of gateway failed before, with status 200; they and the case of TestHeads pass now, as do those of reason phrases with a tab and bytes above 127 before and after.

--- a/answer/head.go
+++ b/answer/head.go
@@ -63,6 +63,10 @@
 	if res.ProtoMajor != 1 {
 		return fmt.Errorf("%w: version %q", ErrHead, res.Proto)
 	}
+	// The bytes that a reason phrase may have are those of a field's value (RFC 9112, section 4).
+	if !httpguts.ValidHeaderFieldValue(res.Status) {
+		return fmt.Errorf("%w: status %.40q", ErrHead, res.Status)
+	}
 	for name := range res.Header {
 		if !httpguts.ValidHeaderFieldName(name) {
 			return fmt.Errorf("%w: field name %.40q", ErrHead, name)
