Reject interim answers of HTTP/1.0

Cause: answer.ReadFinal put a further reader on the connection for each answer of HTTP/1.0, also for interim ones, which that version doesn't have.

Change: an interim answer of HTTP/1.0 is not valid, so that at most one reader is added.

Evidence: informationalEarlierVersion of TestHostileEndpoints failed before and passes now, as do the cases of both heads.yaml.

--- a/answer/head.go
+++ b/answer/head.go
@@ -35,8 +35,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if isLegacy && len(res.TransferEncoding) > 0 {
-			return nil, fmt.Errorf("%w: transfer coding in %s", ErrHead, legacyVersion)
+		if isLegacy && (len(res.TransferEncoding) > 0 || isInterim(res.StatusCode)) {
+			return nil, fmt.Errorf("%w: status %d, transfer coding %q in %s", ErrHead, res.StatusCode, res.TransferEncoding, legacyVersion)
 		}
 		if isInterim(res.StatusCode) {
 			if err := check(res); err != nil {
@@ -51,8 +51,8 @@
 	}
 }
 
-// upgrade makes an answer of HTTP/1.0 look like one of HTTP/1.1, which is read alike but for its transfer coding:
-// http.ReadResponse drops that of HTTP/1.0, where it makes the answer invalid (RFC 9112, section 6.1).
+// upgrade makes an answer of HTTP/1.0, which has neither transfer codings (RFC 9112, section 6.1) nor interim answers, look like
+// one of HTTP/1.1, which is read alike otherwise: http.ReadResponse drops the coding of HTTP/1.0.
 func upgrade(rdr *bufio.Reader) (upgraded *bufio.Reader, isLegacy bool) {
 	// http.ReadResponse meets the same error.
 	if start, _ := rdr.Peek(len(legacyVersion)); string(start) != legacyVersion {
