Play invalid heads in resumed streams and in the soak

Endpoints of the stand-in answer with status 000 or with a blank in the name of a field, after they have run the request.

--- a/soak/world.go
+++ b/soak/world.go
@@ -35,6 +35,7 @@
 
 var engineModes = []standin.EngineMode{
 	standin.EngineRefuses, standin.EngineFails, standin.EngineCuts, standin.EngineWrongAttemptID, standin.EngineUnsigned,
+	standin.EngineInvalidStatus, standin.EngineInvalidField,
 }
 
 // world is a site with real daemons, and with stand-ins for the store and the endpoints.
--- a/standin/siteengine.go
+++ b/standin/siteengine.go
@@ -49,6 +49,9 @@
 	// EngineUnframedCuts does so and closes the connection inside an event, EngineUnframedEmpty before the first one.
 	EngineUnframedCuts  EngineMode = "unframedCuts"
 	EngineUnframedEmpty EngineMode = "unframedEmpty"
+	// EngineInvalidStatus runs each request and answers with status 000, EngineInvalidField with a blank in the name of a field.
+	EngineInvalidStatus EngineMode = "invalidStatus"
+	EngineInvalidField  EngineMode = "invalidField"
 	// EngineUnsigned answers without a response signature.
 	EngineUnsigned EngineMode = "unsigned"
 )
@@ -392,7 +395,7 @@
 		sen.markCut(run)
 		return
 	}
-	if answerFailure(wri, mode) {
+	if answerFailure(wri, mode) || answerInvalid(wri, run, mode, from) {
 		return
 	}
 	if events, err := strconv.Atoi(req.URL.Query().Get("events")); err == nil {
@@ -445,6 +448,24 @@
 	return true
 }
 
+// answerInvalid answers a request that was run with an event and a head that is not valid; it returns false for other modes.
+func answerInvalid(wri http.ResponseWriter, run *SiteRun, mode EngineMode, from int) bool {
+	start, field := "HTTP/1.1 200 OK", ""
+	switch mode {
+	case EngineInvalidStatus:
+		start = "HTTP/1.1 000 OK"
+	case EngineInvalidField:
+		field = "X Invalid: 1\r\n"
+	default:
+		return false
+	}
+	wri.Header().Set("Content-Type", "text/event-stream")
+	head := &strings.Builder{}
+	_ = wri.Header().Write(head)
+	AnswerRaw(wri, fmt.Sprintf("%s\r\n%s%s\r\nid: %d\ndata: %s\n\n", start, head, field, from+1, run.CallID))
+	return true
+}
+
 func (sen *SiteEngine) markCut(run *SiteRun) {
 	sen.mutex.Lock()
 	defer sen.mutex.Unlock()
