--- a/answer/head.go
+++ b/answer/head.go
@@ -54,7 +54,7 @@
 // upgrade makes an answer of HTTP/1.0, which has neither transfer codings (RFC 9112, section 6.1) nor interim answers, look like
 // one of HTTP/1.1, which is read alike otherwise: http.ReadResponse drops the coding of HTTP/1.0.
 func upgrade(rdr *bufio.Reader) (upgraded *bufio.Reader, isLegacy bool) {
-	// http.ReadResponse meets the same error.
+	// An error is left to http.ReadResponse, which reads again.
 	if start, _ := rdr.Peek(len(legacyVersion)); string(start) != legacyVersion {
 		return rdr, false
 	}
--- a/answer/transport.go
+++ b/answer/transport.go
@@ -3,8 +3,7 @@
 import "net/http"
 
 // Transport is a http.RoundTripper whose answers all have a valid head. It is for requests that do not ask for another
-// protocol. Interim answers are not checked, as http.Transport drops them, nor is the transfer coding
-// of an answer of HTTP/1.0, which it doesn't show.
+// protocol. Interim answers and the transfer coding of HTTP/1.0 are not checked, as http.Transport drops both.
 type Transport struct {
 	Base http.RoundTripper
 }
@@ -18,7 +17,7 @@
 	}
 	if err := checkFinal(res); err != nil {
 		_ = res.Body.Close()
-		// A connection with an answer that has no body may be idle already. What follows there is no answer either.
+		// A connection with an answer that has no body may be idle already, and must not carry another request.
 		trn.CloseIdleConnections()
 		return nil, err
 	}
--- a/entry/claimed_test.go
+++ b/entry/claimed_test.go
@@ -122,6 +122,8 @@
 		"HTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\n",
 		"HTTP/1.1 600 OK\r\nContent-Length: 5\r\n\r\n",
 		"HTTP/1.1 101 Switching Protocols\r\n\r\n",
+		"HTTP/2.0 200 OK\r\nContent-Length: 5\r\n\r\n",
+		"HTTP/1.1 200 O\x01K\r\nContent-Length: 5\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nX Bad: 1\r\nContent-Length: 5\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nX\x01Bad: 1\r\nContent-Length: 5\r\n\r\n",
 	} {
--- a/gateway/head_test.go
+++ b/gateway/head_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"regexp"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -28,7 +29,7 @@
 
 // validAnswer matches an answer to a caller: a status line, field lines and a body.
 var validAnswer = regexp.MustCompile(`^HTTP/1\.1 ([1-5][0-9]{2}) [^\r\n]*\r\n` +
-	"((?:[!#$%&'*+.^_|~0-9A-Za-z`-]+:[^\\x00-\\x08\\x0a-\\x1f\\x7f]*\r\n)*)\r\n")
+	"(?:[!#$%&'*+.^_|~0-9A-Za-z`-]+:[^\\x00-\\x08\\x0a-\\x1f\\x7f]*\r\n)*\r\n")
 
 // headCase is an answer that may have a head that is not valid HTTP/1.1.
 type headCase struct {
@@ -146,7 +147,9 @@
 	if found == nil {
 		t.Fatalf("got %q, want an answer in HTTP/1.1", answer)
 	}
-	_, _ = fmt.Sscan(found[1], &status)
+	if status, err = strconv.Atoi(found[1]); err != nil {
+		t.Fatal(err)
+	}
 	return status, answer
 }
 
