Take a kept answer of an invalid status for unknown

Seen by callers: the caller that repeats a key gets the answer that the daemon of the first attempt kept. A daemon of an earlier release keeps an answer of status 000, and any daemon that asked it passed the status on: the connection was closed without an answer. Status 600 and 101 were passed on as well.

Cause: claim.Result carries the status of an endpoint's answer between daemons, and its reader did not check it either.

Change: Acquirer.Result returns StateUnknown for an answer whose status HTTP does not define for final answers, from peers and its own ledger, so that the caller gets 502 and unknown. The request ran once and is not sent again.

Evidence: TestResultOfInvalidStatusIsUnknown failed before for each status, at the claimant and at another daemon, and passes now.

--- a/answer/head.go
+++ b/answer/head.go
@@ -67,10 +67,15 @@
 	return status/100 == 1 && status != http.StatusSwitchingProtocols
 }
 
+// IsFinal reports whether HTTP defines a status for final answers.
+func IsFinal(status int) bool {
+	return status >= minFinalStatus && status <= maxStatus
+}
+
 // checkFinal returns an error that wraps ErrHead if the head of a final answer is not valid. Status 101 is not, as no request
 // asks for another protocol.
 func checkFinal(res *http.Response) error {
-	if res.StatusCode < minFinalStatus || res.StatusCode > maxStatus {
+	if !IsFinal(res.StatusCode) {
 		return fmt.Errorf("%w: status %.3q", ErrHead, res.Status)
 	}
 	return check(res)
--- a/claim/acquirer.go
+++ b/claim/acquirer.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 
+	"papayacroft/answer"
 	"papayacroft/membership"
 )
 
@@ -193,6 +194,15 @@
 // Result returns the result of a claim. It asks the claimant and the successors to which the claimant may have handed
 // the outcome over; if none of them has it, the state is StateUnknown.
 func (acq *Acquirer) Result(ctx context.Context, clm Claim) Result {
+	res := acq.findResult(ctx, clm)
+	// Daemons of earlier releases keep answers with any status.
+	if res.State == StateAnswered && !answer.IsFinal(res.Status) {
+		return Result{State: StateUnknown}
+	}
+	return res
+}
+
+func (acq *Acquirer) findResult(ctx context.Context, clm Claim) Result {
 	req := ResultRequest{ID: clm.ID, Claimant: clm.Claimant}
 	if clm.Claimant == acq.Claimant {
 		return acq.ownResult(ctx, req)
--- a/claim/handover_test.go
+++ b/claim/handover_test.go
@@ -40,6 +40,21 @@
 	}
 }
 
+// Guards against an answer with a status such as 000 that a daemon of an earlier release kept, and that is passed on.
+func TestResultOfInvalidStatusIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := newNodes(newFakeLog(), true)
+		for _, status := range []int{0, 99, 101, 600} {
+			id := nodes[0].Ledger.Begin(time.Now())
+			nodes[0].Ledger.Dispatch(id)
+			nodes[0].Ledger.Finish(time.Now(), id, Result{State: StateAnswered, Status: status, Body: []byte("yes")})
+			for _, acq := range nodes[:2] {
+				checkOutcome(t, acq, Claim{ID: id.String(), Claimant: "one", Address: "one"}, StateUnknown)
+			}
+		}
+	})
+}
+
 // Guards against outcomes that are lost when the claimant, and then one of its successors, stops, and against an outcome
 // that is handed over before it is final or is returned for another claimant's claim.
 func TestHandOver(t *testing.T) {
