Log the streams that the end of a planned stop breaks off

The log of a stopping gateway had only their number ("requests could not be ended", inFlight), so it didn't show when a broken stream had been taken. Lines of requests that came after the stop signal have drainElapsed now.

--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -244,6 +244,7 @@
 	defer stop()
 	if err := callers.Shutdown(ctx); err != nil {
 		dmn.Logger.WithError(err).WithField("inFlight", dmn.Server.InFlight()).Warn("requests could not be ended")
+		dmn.Server.logUnfinished(time.Now())
 		return
 	}
 	dmn.Logger.WithField("elapsed", time.Since(began)).Info("drained")
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"papayacroft/catalog"
 )
 
@@ -21,16 +23,34 @@
 	srv.endAll()
 }
 
+// logUnfinished logs the streams that the end of the process breaks off.
+func (srv *Server) logUnfinished(now time.Time) {
+	for _, one := range srv.streams.all() {
+		one.mutex.Lock()
+		events := one.events
+		one.mutex.Unlock()
+		one.logger.WithFields(logrus.Fields{fieldEvents: events, fieldElapsed: now.Sub(one.begun)}).Warn("stream broken off at the end of the drain notice")
+	}
+}
+
+// drainElapsed returns the time since the stop signal, and false if the daemon has not received it.
+func (srv *Server) drainElapsed(now time.Time) (time.Duration, bool) {
+	since := srv.drainingSince.Load()
+	if since == 0 {
+		return 0, false
+	}
+	return now.Sub(time.Unix(0, since)), true
+}
+
 // refuseDraining refuses requests that would probably not complete before the daemon stops: all requests shortly before
 // its end, and before that the streams that can't be resumed, unless a retry would miss their target.
 // A retry reaches another daemon of the failure domain, or a daemon of another failure domain as soon as the load
 // balancer has taken this one out.
 func (srv *Server) refuseDraining(now time.Time, rqs *request) *refusal {
-	since := srv.drainingSince.Load()
-	if since == 0 {
+	elapsed, draining := srv.drainElapsed(now)
+	if !draining {
 		return nil
 	}
-	elapsed := now.Sub(time.Unix(0, since))
 	rou := rqs.route
 	left, longest := srv.DrainNotice-elapsed, rqs.deadline.Sub(now)
 	// New connections reach other daemons by unreadyTime, so a caller that is refused then finds one of them.
--- a/gateway/fields.go
+++ b/gateway/fields.go
@@ -4,6 +4,8 @@
 const (
 	fieldEndpoint = "endpoint"
 	fieldElapsed  = "elapsed"
-	fieldEvents   = "events"
-	fieldOutcome  = "outcome"
+	// fieldDrainElapsed is the time from the stop signal to a request's arrival, if the daemon drained then.
+	fieldDrainElapsed = "drainElapsed"
+	fieldEvents       = "events"
+	fieldOutcome      = "outcome"
 )
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -110,6 +112,17 @@
 	}
 }
 
+// all returns the generations that are relayed now.
+func (sts *streams) all() []*run {
+	sts.mutex.Lock()
+	defer sts.mutex.Unlock()
+	var all []*run
+	for _, runs := range sts.byEndpoint {
+		all = slices.AppendSeq(all, maps.Keys(runs))
+	}
+	return all
+}
+
 // movable returns the generations at an engine that can be moved. It returns none if it was called for the same engine
 // less than moveInterval ago.
 func (sts *streams) movable(now time.Time, id string) (source catalog.Endpoint, runs []*run) {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -249,6 +249,9 @@
 		wait = min(wait, rqs.Deadline)
 	}
 	rqs.deadline = now.Add(wait - answerMargin)
+	if elapsed, draining := srv.drainElapsed(now); draining {
+		rqs.logger = rqs.logger.WithField(fieldDrainElapsed, elapsed)
+	}
 	if ref := srv.refuseDraining(now, rqs); ref != nil {
 		return ref
 	}
