Take streams late in a planned stop only if they fit

Callers of a stopping gateway lost streams: the gateway took streams that may be resumed until 3 s before its end, passed them on to a sound engine, and broke them off when the process ended. Clients keep reaching it that late when less than half of their zone's gateways are in rotation, as then the balancer uses all of them.

Cause: by refuseDraining, a request that may be repeated had to fit into the time left only if less than 3 s were left. That is the usual length of a short stream, not a bound: routes allow 6 s and more.

From 2.8 s after the signal, a stream is taken only if its deadline or its route's timeout is within the time left, so its own deadline is the only thing that can end it early. Others get 503 with a short Retry-After and have not run. Calls that may be repeated are taken as before: at the end they get an answer in any case.

Before the change: planned_stop_resumable: line 15: status late 503: got status 200 (, unexpected EOF), want 503 TestRefuseDraining/resumable_stream: 2.9s after the signal: got refused false, want true (also 4 s, 4.6 s)

planned_stop_slow expected a stream on a route with a timeout of 30 s to be taken 3 s after the signal, which is the fault. It now expects that of a stream with a deadline of 3 s, and planned_stop_resumable expects streams without such a deadline to be taken 2.4 s after the signal.

--- a/gateway/daemon.go
+++ b/gateway/daemon.go
@@ -222,7 +222,7 @@
 // drain accepts requests until the load balancer has taken the daemon out, and then finishes those in flight.
 func (dmn *Daemon) drain(callers *http.Server) {
 	began := time.Now()
-	dmn.Server.drainingSince.Store(began.UnixNano())
+	dmn.Server.startDrain(began)
 	dmn.Exchange.RequestRound()
 	dmn.Server.StopQueue()
 	dmn.Logger.WithField("inFlight", dmn.Server.InFlight()).Info("draining")
--- a/gateway/scenario_call_test.go
+++ b/gateway/scenario_call_test.go
@@ -32,10 +32,31 @@
 
 // startPrompt starts a request; prompt has the ids of its parts, separated by commas, or ID:TOKENS for each.
 func (sit *site) startPrompt(name, daemon, target, prompt string, key []string) {
+	cal, req := sit.newCall(name, daemon, target, strings.NewReader("body of "+target+prompt))
+	if strings.Contains(prompt, ":") {
+		req.Header.Set("Prompt-Prefix", prompt)
+		req.Header.Set("Token-Usage", promptUsage(prompt))
+	} else if prompt != "" {
+		req.Header.Set("Prompt-Prefix", strings.ReplaceAll(prompt, ",", ":50,")+":50")
+	}
+	if len(key) > 0 {
+		req.Header.Set("Authorization", "Bearer "+key[0])
+	}
+	go cal.run(req)
+}
+
+// startSlowBody starts a request whose body ends after a time.
+func (sit *site) startSlowBody(name, daemon, target string, after time.Duration) {
+	cal, req := sit.newCall(name, daemon, target, &slowBody{text: strings.NewReader("body of " + target), after: after})
+	go cal.run(req)
+}
+
+// newCall returns a call and its request, with the key of organisation one.
+func (sit *site) newCall(name, daemon, target string, body io.Reader) (*siteCall, *http.Request) {
 	ctx, cancel := context.WithCancel(context.Background())
 	cal := &siteCall{id: "id-" + name, cancel: cancel, done: make(chan struct{})}
 	sit.calls[name] = cal
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+sit.daemons[daemon].caller+target, strings.NewReader("body of "+target+prompt))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+sit.daemons[daemon].caller+target, body)
 	if err != nil {
 		sit.fatalf("%v", err)
 	}
@@ -43,18 +64,26 @@
 	req.Header.Set("Attempt-Id", cal.id)
 	req.Header.Set("Token-Usage", "100,400")
 	req.Header.Set("Tenant", "forged")
-	if strings.Contains(prompt, ":") {
-		req.Header.Set("Prompt-Prefix", prompt)
-		req.Header.Set("Token-Usage", promptUsage(prompt))
-	} else if prompt != "" {
-		req.Header.Set("Prompt-Prefix", strings.ReplaceAll(prompt, ",", ":50,")+":50")
+	req.Header.Set("Authorization", "Bearer key-one")
+	if sit.deadline > 0 {
+		req.Header.Set("Deadline-Ms", strconv.FormatInt(sit.deadline.Milliseconds(), 10))
 	}
-	credential := "key-one"
-	if len(key) > 0 {
-		credential = key[0]
+	return cal, req
+}
+
+// slowBody is a request body that ends after a time.
+type slowBody struct {
+	text  *strings.Reader
+	after time.Duration
+}
+
+// Read returns the text and then, after the time, the end of the body.
+func (bod *slowBody) Read(buf []byte) (int, error) {
+	count, err := bod.text.Read(buf)
+	if err != nil {
+		time.Sleep(bod.after)
 	}
-	req.Header.Set("Authorization", "Bearer "+credential)
-	go cal.run(req)
+	return count, err
 }
 
 func (cal *siteCall) run(req *http.Request) {
--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -85,6 +85,8 @@
 	contracts string
 	// queue is true if daemons start with a queue.
 	queue bool
+	// deadline is the deadline of the calls that start from now on; 0 means that of their route.
+	deadline time.Duration
 }
 
 type siteEndpoint struct {
@@ -276,6 +278,10 @@
 		sit.startCall(args[1], args[2], "/"+args[3]+"/x", args[4:])
 	case "stream": // stream NAME DAEMON ROUTE EVENTS [KEY]: starts a request for a stream of so many events
 		sit.startCall(args[1], args[2], "/"+args[3]+"/x?events="+args[4], args[5:])
+	case "deadline": // deadline DURATION: requests that start from now on state this deadline; 0s means none
+		sit.deadline = sit.duration(args[1])
+	case "slowBody": // slowBody NAME DAEMON ROUTE EVENTS DURATION: starts a request for a stream whose body ends after this time
+		sit.startSlowBody(args[1], args[2], "/"+args[3]+"/x?events="+args[4], sit.duration(args[5]))
 	case "poison": // poison NAME DAEMON ROUTE: starts a request that has the same content each time
 		sit.startCall(args[1], args[2], "/"+args[3]+"/poison", nil)
 	case "leave": // leave CALL: closes the caller's connection
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -162,6 +162,18 @@
 	status int
 }
 
+// longest returns the longest time that the request may take, by the timeout of its route and the caller's deadline.
+func (rqs *request) longest() time.Duration {
+	wait := rqs.route.Timeout
+	if wait <= 0 {
+		wait = defaultDeadline
+	}
+	if rqs.Deadline > 0 {
+		wait = min(wait, rqs.Deadline)
+	}
+	return wait
+}
+
 // kind returns the kind of the request's route as a metric label.
 func (rqs *request) kind() string {
 	if rqs.route == nil {
@@ -241,14 +253,7 @@
 		}
 	}
 	rqs.service = rou.Pick(rand.Float64())
-	wait := rou.Timeout
-	if wait <= 0 {
-		wait = defaultDeadline
-	}
-	if rqs.Deadline > 0 {
-		wait = min(wait, rqs.Deadline)
-	}
-	rqs.deadline = now.Add(wait - answerMargin)
+	rqs.deadline = now.Add(rqs.longest() - answerMargin)
 	if elapsed, draining := srv.drainElapsed(now); draining {
 		rqs.logger = rqs.logger.WithField(fieldDrainElapsed, elapsed)
 	}
