Check again after reading the body whether a request fits into a stop

A stopping gateway checked the time left when it had read a request's head.

The check is repeated once the body has been read; the request has not been passed on by then, so 503 with a Retry-After is true.

Before the change, a body that ended 3.5 s after the signal: planned_stop_slow_body: line 12: status late 503: got status 200 (, unexpected EOF), want 503

--- a/gateway/server.go
+++ b/gateway/server.go
@@ -267,6 +267,10 @@
 	if ref := srv.readBody(now, wri, rqs, cat.Limits.MaxBodyBytes); ref != nil {
 		return ref
 	}
+	// The stop signal may have come while the body was read, and the time that was left may have passed.
+	if ref := srv.refuseDraining(srv.Now(), rqs); ref != nil {
+		return ref
+	}
 	return srv.refuseCondemned(now, rqs)
 }
 
