Measure the time of a drain by the monotonic clock

The time of the stop signal was kept in Unix nanoseconds, so a step of the clock during a drain changed the time that was left: set back, the gateway took streams until its end, which then broke them off; set forward, it refused what it could have served. The time now keeps its monotonic reading.

The test fails with the time kept as before: TestDrainKeepsMonotonicTime: got the stop signal at 2026-12-07 05:50:55.542828182 +0000 UTC, want a time with a monotonic reading

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -39,16 +39,21 @@
 
 // startDrain records the time of the stop signal.
 func (srv *Server) startDrain(now time.Time) {
-	srv.drainingSince.Store(now.UnixNano())
+	srv.drainBegan.Store(&now)
+}
+
+// drainingSince returns the time of the stop signal; the zero time if the daemon has not received it.
+func (srv *Server) drainingSince() time.Time {
+	if began := srv.drainBegan.Load(); began != nil {
+		return *began
+	}
+	return time.Time{}
 }
 
 // drainElapsed returns the time since the stop signal, and false if the daemon has not received it.
 func (srv *Server) drainElapsed(now time.Time) (time.Duration, bool) {
-	since := srv.drainingSince.Load()
-	if since == 0 {
-		return 0, false
-	}
-	return now.Sub(time.Unix(0, since)), true
+	since := srv.drainingSince()
+	return now.Sub(since), !since.IsZero()
 }
 
 // refuseDraining refuses requests that may not complete before the daemon stops: late in a drain all of them, before that
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -51,3 +52,12 @@
 		})
 	}
 }
+
+// Guards against a drain that ends earlier or later for its requests when the time of day is set meanwhile.
+func TestDrainKeepsMonotonicTime(t *testing.T) {
+	srv := NewServer()
+	srv.startDrain(time.Now())
+	if got := srv.drainingSince(); !strings.Contains(got.String(), " m=") {
+		t.Errorf("got the stop signal at %s, want a time with a monotonic reading", got)
+	}
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -100,8 +100,9 @@
 	wakes  chan struct{}
 	// passDue is when RunQueue looks at them without an event.
 	passDue time.Time
-	// drainingSince is the time of the stop signal in Unix nanoseconds; 0 until the signal arrives.
-	drainingSince atomic.Int64
+	// drainBegan is the time of the stop signal; nil until the signal arrives. It keeps its monotonic reading, so that steps of
+	// the clock don't change the time left.
+	drainBegan atomic.Pointer[time.Time]
 	// ending is cancelled by End.
 	ending  context.Context
 	endAll  context.CancelFunc
@@ -301,7 +302,7 @@
 
 // Draining reports whether the daemon has received the signal to stop.
 func (srv *Server) Draining() bool {
-	return srv.drainingSince.Load() != 0
+	return !srv.drainingSince().IsZero()
 }
 
 func (srv *Server) readBody(now time.Time, wri http.ResponseWriter, rqs *request, limit int64) *refusal {
