--- a/soak/check.go
+++ b/soak/check.go
@@ -164,8 +164,8 @@
 	return ""
 }
 
-// checkLoss checks that no request fails in transit while only planned work is in progress, except for long ones at the end
-// of a planned stop.
+// checkLoss checks that no request fails in transit while only planned work is in progress, except for long streams at the
+// end of a planned stop.
 func (wld *world) checkLoss(cal *call, runs []standin.SiteRun) string {
 	if cal.err == nil || cal.abandoned || cal.daemon.mayBreakOff(cal) {
 		return ""
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -19,7 +19,7 @@
 const (
 	// drainNotice is the time that a daemon has between SIGTERM and its end (graceS on the users' sites).
 	drainNotice = 8 * time.Second
-	// Calls that were sent later than lateTime after SIGTERM must not be broken off, earlier ones only in the lastPart of
+	// Streams that were sent later than lateTime after SIGTERM must not be broken off, earlier ones only in the lastPart of
 	// drainNotice (3 s and a sixth of graceS on the users' sites).
 	lateTime         = 3 * time.Second
 	lastPart         = drainNotice / 6
@@ -174,14 +174,14 @@
 	return false
 }
 
-// mayBreakOff reports whether a planned stop may break off a call: one that was sent up to lateTime after the signal and
+// mayBreakOff reports whether a planned stop may break off a call: a stream that was sent up to lateTime after the signal and
 // still ran near the end of drainNotice.
 func (dmn *daemon) mayBreakOff(cal *call) bool {
 	dmn.mutex.Lock()
 	defer dmn.mutex.Unlock()
 	for _, stop := range dmn.stops {
 		elapsed := cal.ended.Sub(stop)
-		if cal.sent.Sub(stop) <= lateTime && elapsed >= drainNotice-lastPart && elapsed <= drainNotice+lossSlack {
+		if cal.isStream() && cal.sent.Sub(stop) <= lateTime && elapsed >= drainNotice-lastPart && elapsed <= drainNotice+lossSlack {
 			return true
 		}
 	}
