Soak: excuse streams that no endpoint could continue, and paused daemons

An engine that breaks off is not the daemon's loss. A stream is excused only if an endpoint ended in the 0.2 s before, and none of its service was there throughout the last 3 s.

The promise is one of daemons in touch, which a paused one is not.

--- a/soak/check.go
+++ b/soak/check.go
@@ -127,13 +127,14 @@
 	return ""
 }
 
-// checkAbandoned checks that no run of a request starts after its caller abandoned it.
+// checkAbandoned checks that no run of a request starts after its caller abandoned it, unless a fault kept the daemon from
+// noticing that: a paused one reads what has arrived meanwhile only when it goes on.
 func checkAbandoned(cal *call, runs []standin.SiteRun) string {
 	if !cal.abandoned || cal.err == nil || len(runs) == 0 {
 		return ""
 	}
 	last := slices.MaxFunc(runs, func(one, other standin.SiteRun) int { return one.At.Compare(other.At) })
-	if last.At.After(cal.ended.Add(time.Second)) {
+	if last.At.After(cal.ended.Add(time.Second)) && !cal.daemon.wasDisturbed(cal.ended, last.At) {
 		return "began to run after its caller had abandoned it"
 	}
 	return ""
@@ -165,9 +166,9 @@
 }
 
 // checkLoss checks that no request fails in transit while only planned work is in progress, except for long streams at the
-// end of a planned stop.
+// end of a planned stop, or at the end of their endpoint if no other one could continue them.
 func (wld *world) checkLoss(cal *call, runs []standin.SiteRun) string {
-	if cal.err == nil || cal.abandoned || cal.daemon.mayBreakOff(cal) {
+	if cal.err == nil || cal.abandoned || cal.daemon.mayBreakOff(cal) || wld.endedWithEngine(cal) {
 		return ""
 	}
 	for _, one := range wld.unplanned {
@@ -181,6 +182,25 @@
 	return ""
 }
 
+// endedWithEngine reports whether a stream broke off when an endpoint ended, and no other endpoint of the service was there
+// for it in the detectionTime before.
+func (wld *world) endedWithEngine(cal *call) bool {
+	if !cal.isStream() {
+		return false
+	}
+	isEnded := false
+	for _, eng := range wld.engines {
+		if eng.service != streamService {
+			continue
+		}
+		if eng.wasAvailable(cal.ended.Add(-detectionTime), cal.ended) {
+			return false
+		}
+		isEnded = isEnded || eng.endedBetween(cal.ended.Add(-lossSlack), cal.ended)
+	}
+	return isEnded
+}
+
 // checkRollback checks that a process doesn't return to an older configuration: once it has refused the key two, it must
 // not accept the key before a new configuration has it again. Refusals within catchUpTime after the last configuration
 // with the key are ignored, because a process that is behind may still apply several versions in turn: it refuses the
--- a/soak/engine.go
+++ b/soak/engine.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,6 +45,10 @@
 	silent bool
 	// drains holds the time at which each endpoint began to drain, by its id.
 	drains map[string]time.Time
+	// away are the periods from the time at which an endpoint began to leave, or ended, until the next one started; the last
+	// one has no end while it lasts. ends are the times at which endpoints ended.
+	away []span
+	ends []time.Time
 	// incarnations are all endpoints that ran at this address, the current one included.
 	incarnations []*standin.SiteEngine
 }
@@ -71,6 +76,9 @@
 	eng.current, eng.state, eng.sequence, eng.silent = sen, "ready", 0, false
 	eng.server = &http.Server{Handler: sen, ReadHeaderTimeout: entryLifetime}
 	eng.incarnations = append(eng.incarnations, sen)
+	if len(eng.away) > 0 {
+		eng.away[len(eng.away)-1].to = time.Now()
+	}
 	server := eng.server
 	eng.mutex.Unlock()
 	go func() { _ = server.Serve(lis) }()
@@ -103,6 +111,7 @@
 	id := eng.current.ID
 	eng.state = "draining"
 	eng.drains[id] = time.Now()
+	eng.leave()
 	eng.current.SetDraining()
 	if vanishes {
 		eng.silent = true
@@ -118,12 +127,37 @@
 	defer eng.mutex.Unlock()
 	id := eng.current.ID
 	eng.silent = true
+	eng.leave()
+	eng.ends = append(eng.ends, time.Now())
 	eng.current.Stop()
 	_ = eng.server.Close()
 	eng.link.resetAll()
 	time.AfterFunc(entryLifetime, func() { eng.store.Put("keyed.servers", id, nil) })
 }
 
+// leave records that the endpoint leaves, unless that is known; the caller holds the mutex.
+func (eng *engine) leave() {
+	if count := len(eng.away); count == 0 || !eng.away[count-1].to.IsZero() {
+		eng.away = append(eng.away, span{from: time.Now()})
+	}
+}
+
+// wasAvailable reports whether the endpoint neither left nor was gone at any time between two times.
+func (eng *engine) wasAvailable(from, to time.Time) bool {
+	eng.mutex.Lock()
+	defer eng.mutex.Unlock()
+	return !slices.ContainsFunc(eng.away, func(one span) bool {
+		return one.from.Before(to) && (one.to.IsZero() || from.Before(one.to))
+	})
+}
+
+// endedBetween reports whether an endpoint ended between two times.
+func (eng *engine) endedBetween(from, to time.Time) bool {
+	eng.mutex.Lock()
+	defer eng.mutex.Unlock()
+	return slices.ContainsFunc(eng.ends, func(end time.Time) bool { return end.After(from) && end.Before(to) })
+}
+
 func (eng *engine) setMode(mode standin.EngineMode) {
 	eng.mutex.Lock()
 	defer eng.mutex.Unlock()
--- a/soak/world.go
+++ b/soak/world.go
@@ -28,6 +28,9 @@
 	maxAttempts = 2
 )
 
+// streamService is the service of model engines, which answers with streams.
+const streamService = "pool"
+
 // keyName is the JSON key of the name that most parts of a configuration have.
 const keyName = "name"
 
@@ -71,7 +74,7 @@
 	wld.publish(true)
 	pool := standin.NewSiteEngines()
 	for i := range engines {
-		service := "pool"
+		service := streamService
 		if i < deskEndpoints {
 			service = "desk"
 		}
@@ -303,9 +306,9 @@
 		"version": version, "tenants": tenants,
 		"routes": []map[string]any{
 			route("once", "non_idempotent", "desk", false), route("again", "idempotent", "desk", false),
-			route("long", "stream", "pool", false), route("short", "stream", "pool", true),
+			route("long", "stream", streamService, false), route("short", "stream", streamService, true),
 		},
-		"services": []map[string]any{{keyName: "desk", "protocol": "h1"}, {keyName: "pool", "protocol": "h1", "engine": engine}},
+		"services": []map[string]any{{keyName: "desk", "protocol": "h1"}, {keyName: streamService, "protocol": "h1", "engine": engine}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
 	if err != nil {
