Test resumptions and late bodies of calls in planned stops

A client that resumes its stream at a stopping gateway is refused as for a new stream; entry daemons redirect or refuse calls whose body ends after open responses were ended.

--- a/gateway/scenario_call_test.go
+++ b/gateway/scenario_call_test.go
@@ -51,6 +51,13 @@
 	go cal.run(req)
 }
 
+// startResumed starts a request for a stream that goes on after an event.
+func (sit *site) startResumed(name, daemon, target, lastEvent string) {
+	cal, req := sit.newCall(name, daemon, target, strings.NewReader("body of "+target))
+	req.Header.Set("Last-Event-Id", lastEvent)
+	go cal.run(req)
+}
+
 // newCall returns a call and its request, with the key of organisation one.
 func (sit *site) newCall(name, daemon, target string, body io.Reader) (*siteCall, *http.Request) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -280,6 +280,8 @@
 		sit.startCall(args[1], args[2], "/"+args[3]+"/x?events="+args[4], args[5:])
 	case "deadline": // deadline DURATION: requests that start from now on state this deadline; 0s means none
 		sit.deadline = sit.duration(args[1])
+	case "resume": // resume NAME DAEMON ROUTE EVENTS LAST: starts a request for a stream of so many events that goes on after the event LAST
+		sit.startResumed(args[1], args[2], "/"+args[3]+"/x?events="+args[4], args[5])
 	case "slowBody": // slowBody NAME DAEMON ROUTE EVENTS DURATION: starts a request for a stream whose body ends after this time
 		sit.startSlowBody(args[1], args[2], "/"+args[3]+"/x?events="+args[4], sit.duration(args[5]))
 	case "poison": // poison NAME DAEMON ROUTE: starts a request that has the same content each time
--- a/test/http_test.go
+++ b/test/http_test.go
@@ -22,12 +22,14 @@
 	header                  http.Header
 	status                  int
 	contains                []string
+	// pause is the time after which the body ends.
+	pause time.Duration
 }
 
-// parseHTTPCall reads METHOD URL [-header 'K: V'] [-body TEXT] [-status N] [-contains TEXT] [-save FILE].
+// parseHTTPCall reads METHOD URL [-header 'K: V'] [-body TEXT] [-pause DURATION] [-status N] [-contains TEXT] [-save FILE].
 func parseHTTPCall(ts *testscript.TestScript, args []string) *httpCall {
 	if len(args) < 2 || len(args)%2 != 0 {
-		ts.Fatalf("usage: http METHOD URL [-header 'K: V'] [-body TEXT] [-status N] [-contains TEXT] [-save FILE]")
+		ts.Fatalf("usage: http METHOD URL [-header 'K: V'] [-body TEXT] [-pause DURATION] [-status N] [-contains TEXT] [-save FILE]")
 	}
 	cal := &httpCall{method: args[0], url: args[1], header: http.Header{}, status: http.StatusOK}
 	for i := 2; i < len(args); i += 2 {
@@ -38,6 +40,10 @@
 			cal.header.Add(name, content)
 		case "-body":
 			cal.body = value
+		case "-pause":
+			pause, err := time.ParseDuration(value)
+			ts.Check(err)
+			cal.pause = pause
 		case "-status":
 			status, err := strconv.Atoi(value)
 			ts.Check(err)
@@ -56,7 +62,11 @@
 // run makes the call and returns the response's body and how the response differs from what is expected; problem is
 // empty if it does not differ.
 func (cal *httpCall) run() (body, problem string) {
-	req, err := http.NewRequest(cal.method, cal.url, strings.NewReader(cal.body))
+	var content io.Reader = strings.NewReader(cal.body)
+	if cal.pause > 0 {
+		content = io.MultiReader(content, &lateEnd{pause: cal.pause})
+	}
+	req, err := http.NewRequest(cal.method, cal.url, content)
 	if err != nil {
 		return "", err.Error()
 	}
@@ -88,6 +98,17 @@
 	return string(data), ""
 }
 
+// lateEnd is the end of a body, which comes after a pause.
+type lateEnd struct {
+	pause time.Duration
+}
+
+// Read returns the end of the body after the pause.
+func (end *lateEnd) Read([]byte) (int, error) {
+	time.Sleep(end.pause)
+	return 0, io.EOF
+}
+
 // cmdHTTP makes one call and fails unless the response is as expected.
 func cmdHTTP(ts *testscript.TestScript, neg bool, args []string) {
 	cal := parseHTTPCall(ts, args)
