--- a/soak/caller.go
+++ b/soak/caller.go
@@ -25,7 +25,7 @@
 	maxEvents     = 150
 	longShare     = 0.4
 	maxLongEvents = 450
-	// stayShare is the share of callers that send the next request to the same daemon after a 503 response.
+	// stayShare is the share of 503 responses after which the caller sends its next request to the same daemon.
 	stayShare = 0.5
 )
 
@@ -62,7 +62,8 @@
 }
 
 // runCaller sends one call after another to a daemon, over one connection as long as the daemon keeps it open. It chooses
-// another daemon after an error, and in half of the cases after a 503 response; so some callers stay with a stopping daemon to its end.
+// another daemon after an error, and in half of the cases after a 503 response, so that a stopping daemon has callers until
+// its end.
 func (wld *world) runCaller(ctx context.Context, number uint64) {
 	rnd := rand.New(rand.NewPCG(wld.seed, number+1))
 	trn := &http.Transport{MaxIdleConnsPerHost: 1}
