Keep three review cases: number them anew, drop three

Cases: review/12 (ROUTE, tenants, was 13) and the new review/13 (CONFIG, rule about routes added later): after the store came back from a copy, all machines but the reader of the topic throw away what it passes on, as their offsets are those of before the drill. The ports of gateways are now below those of outgoing connections.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -5,4 +5,4 @@
 	echo "build first: the build line of deploy/system.toml, then review/build-3.sh" >&2
 	exit 2
 fi
-exec target/review-probe tenant review/13/record.txt
+exec target/review-probe newcomers review/13/record.txt
--- a/review/_probe/era.go
+++ b/review/_probe/era.go
@@ -46,7 +46,7 @@
 	version(5, "desk", both)
 	time.Sleep(copyAge / 3)
 	if wld.trouble {
-		wld.store.leave()
+		wld.store.leave(false)
 		wld.log.note("the store is away")
 		time.Sleep(awayTime)
 		wld.store.comeBack(copied)
--- a/review/_probe/gateway.go
+++ b/review/_probe/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -10,7 +11,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -64,16 +64,34 @@
 	return gat
 }
 
+// The ports of gateways lie below those that the system gives to outgoing connections.
+const (
+	firstPort = 20000
+	portCount = 12000
+)
+
+// taken are the ports that gateways have got.
+var taken = map[int]bool{}
+
 // freePorts returns loopback addresses whose ports are free.
 func freePorts(count int) []string {
 	var addresses []string
-	for range count {
-		lis, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(addresses) < count; tries++ {
+		if tries == portCount {
+			unable("no free ports")
+		}
+		port := firstPort + rand.IntN(portCount)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if taken[port] {
+			continue
+		}
+		lis, err := net.Listen("tcp", address)
 		if err != nil {
-			unable("no free port: %v", err)
+			continue
 		}
-		defer lis.Close()
-		addresses = append(addresses, lis.Addr().String())
+		_ = lis.Close()
+		taken[port] = true
+		addresses = append(addresses, address)
 	}
 	return addresses
 }
@@ -98,26 +116,6 @@
 	gat.log.note("%s started, process %d", gat.name, cmd.Process.Pid)
 }
 
-// signal sends a signal to the process.
-func (gat *Gateway) signal(sig syscall.Signal) {
-	gat.mutex.Lock()
-	defer gat.mutex.Unlock()
-	if gat.process != nil {
-		gat.log.note("%s gets %v", gat.name, sig)
-		_ = gat.process.Process.Signal(sig)
-	}
-}
-
-// awaitEnd waits until the process has ended; it returns false after a time.
-func (gat *Gateway) awaitEnd(limit time.Duration) bool {
-	select {
-	case <-gat.ended:
-		return true
-	case <-time.After(limit):
-		return false
-	}
-}
-
 // awaitReady waits until the readiness check gets 200.
 func (gat *Gateway) awaitReady() {
 	for until := time.Now().Add(startTime); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
@@ -137,21 +135,3 @@
 	_ = res.Body.Close()
 	return res.StatusCode == http.StatusOK
 }
-
-// anonymousMB returns the memory of the process without that of files, in MiB.
-func (gat *Gateway) anonymousMB() float64 {
-	gat.mutex.Lock()
-	pid := gat.process.Process.Pid
-	gat.mutex.Unlock()
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(data)) {
-		if text, found := strings.CutPrefix(line, "RssAnon:"); found {
-			kilobytes, _ := strconv.Atoi(strings.Fields(text)[0])
-			return float64(kilobytes) / 1024
-		}
-	}
-	return 0
-}
--- a/review/_probe/main.go
+++ b/review/_probe/main.go
@@ -169,7 +169,7 @@
 }
 
 func main() {
-	scripts := map[string]func(record string){"crowd": playCrowd, "era": playEra, "trickle": playTrickle, "tenant": playTenant, "term": playTerm}
+	scripts := map[string]func(record string){"era": playEra, "tenant": playTenant, "newcomers": playNewcomers}
 	if len(os.Args) != 3 || scripts[os.Args[1]] == nil {
 		unable("usage: probe SCRIPT RECORD")
 	}
--- a/review/_probe/store.go
+++ b/review/_probe/store.go
@@ -34,10 +34,11 @@
 	mutex   sync.Mutex
 	topics  map[string][]record
 	changed chan struct{}
-	down    bool
-	era     int
-	server  *http.Server
-	log     *Log
+	// down is true while the store is away, and silent if it then doesn't answer in place of resetting connections.
+	down, silent bool
+	era          int
+	server       *http.Server
+	log          *Log
 }
 
 // newStore starts a store on a free loopback port.
@@ -77,11 +78,11 @@
 	return all
 }
 
-// leave takes the store away: it resets its connections and executes nothing.
-func (sto *Store) leave() {
+// leave takes the store away: it executes nothing, and resets its connections or gives no answer.
+func (sto *Store) leave(silent bool) {
 	sto.mutex.Lock()
 	defer sto.mutex.Unlock()
-	sto.down = true
+	sto.down, sto.silent = true, silent
 	close(sto.changed)
 	sto.changed = make(chan struct{})
 }
@@ -104,7 +105,7 @@
 	down, era := sto.down, sto.era
 	sto.mutex.Unlock()
 	if down {
-		panic(http.ErrAbortHandler)
+		sto.fail(req)
 	}
 	wri.Header().Set("Store-Era", strconv.Itoa(era))
 	topic := req.URL.Query().Get("topic")
@@ -120,6 +121,17 @@
 	}
 }
 
+// fail ends a call that arrives while the store is away. It does not return.
+func (sto *Store) fail(req *http.Request) {
+	sto.mutex.Lock()
+	silent := sto.silent
+	sto.mutex.Unlock()
+	if silent {
+		<-req.Context().Done()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func (sto *Store) answerNewest(wri http.ResponseWriter, topic string) {
 	type item struct {
 		Key    string `json:"key"`
@@ -158,7 +170,7 @@
 		sto.mutex.Unlock()
 		switch {
 		case down:
-			panic(http.ErrAbortHandler)
+			sto.fail(req)
 		case from > len(records):
 			// The store doesn't have this offset.
 			wri.WriteHeader(http.StatusGone)
@@ -203,7 +215,7 @@
 	}
 	offset, ok := sto.put(topic, string(body[headBytes+1:end]), value)
 	if !ok {
-		panic(http.ErrAbortHandler)
+		sto.fail(req)
 	}
 	_ = json.NewEncoder(wri).Encode(map[string]int{"offset": offset, "end": offset + 1})
 }
