Report a reset that a write has seen to the reader of the answer

Seen by callers: an engine answers a long upload at once with an answer without a length, sends a part of the body and resets the connection while the upload is still being written. The caller got that part as the complete answer, with status 200, 404 or 500; a resumed stream ended as complete. Entry daemons passed such parts on too, and calls to the store, the log and engines took them for whole.

Cause: the kernel reports a reset once, to the first call on the socket. Long bodies are written concurrently with reading the answer, by gateway.Link and by http.Transport. If the write got the error, the next read returned io.EOF, which ends an answer without a length or chunks. Link dropped the error of the write.

Change: answer.Conn records the error of a write, and Read returns it in place of io.EOF, after all that had arrived. It takes the lock that a write holds until its error is recorded, and first ends a write that waits. EPIPE is not recorded: Linux returns it after a reset that follows a FIN, and then the answer is whole. Links use such connections, and all transports, which answer.NewTransport makes.

--- /dev/null
+++ b/answer/conn.go
@@ -0,0 +1,56 @@
+package answer
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Conn is a connection whose reads end with io.EOF only if the peer has closed it, and not if it has failed. The kernel
+// reports a failure, such as a reset, once: if a concurrent write sees it, the next read returns io.EOF, which would make an
+// answer without a length look complete.
+type Conn struct {
+	net.Conn
+
+	mu sync.Mutex
+	// failure is the first error of a write that shows that the connection has failed.
+	failure error
+}
+
+// Write writes to the connection.
+func (con *Conn) Write(data []byte) (int, error) {
+	con.mu.Lock()
+	defer con.mu.Unlock()
+	num, err := con.Conn.Write(data)
+	if con.failure == nil && isFailure(err) {
+		con.failure = err
+	}
+	return num, err
+}
+
+// isFailure reports whether the error of a write shows that the connection has failed. EPIPE does not: a write returns it
+// after a reset that follows the end of what the peer has sent.
+func isFailure(err error) bool {
+	return err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed)
+}
+
+// Read reads from the connection. At its end, a blocked write ends too.
+func (con *Conn) Read(buf []byte) (int, error) {
+	num, err := con.Conn.Read(buf)
+	if !errors.Is(err, io.EOF) {
+		return num, err
+	}
+	// A write that has seen a failure holds the lock until it is recorded.
+	_ = con.SetWriteDeadline(time.Unix(1, 0))
+	con.mu.Lock()
+	defer con.mu.Unlock()
+	if con.failure != nil {
+		return num, fmt.Errorf("the connection failed before the end of the answer: %w", con.failure)
+	}
+	return num, err
+}
--- a/answer/head.go
+++ b/answer/head.go
@@ -1,5 +1,6 @@
 // Package answer reads the heads of HTTP/1.1 answers and rejects those that RFC 9110 and RFC 9112 do not allow. net/http
 // checks less: it takes numbers for a status that HTTP does not define, and names of fields that have blanks.
+// Its connections do not let an answer that a failure has cut off look complete.
 package answer
 
 import (
--- a/answer/head_test.go
+++ b/answer/head_test.go
@@ -57,9 +57,8 @@
 		standin.AnswerRaw(wri, req, cse.Answer)
 	}))
 	defer server.Close()
-	base := &http.Transport{}
-	defer base.CloseIdleConnections()
-	client := &http.Client{Transport: &answer.Transport{Base: base}}
+	client := &http.Client{Transport: answer.NewTransport(&http.Transport{})}
+	defer client.CloseIdleConnections()
 	res, err := client.Get(server.URL)
 	cse.check(t, res, err)
 }
@@ -87,7 +86,7 @@
 	}
 	server.Start()
 	defer server.Close()
-	client := &http.Client{Transport: &answer.Transport{Base: &http.Transport{}}}
+	client := &http.Client{Transport: answer.NewTransport(&http.Transport{})}
 	const requests = 3
 	for range requests {
 		if _, err := client.Get(server.URL); !errors.Is(err, answer.ErrHead) {
--- a/answer/transport.go
+++ b/answer/transport.go
@@ -1,17 +1,39 @@
 package answer
 
-import "net/http"
+import (
+	"context"
+	"net"
+	"net/http"
+)
 
-// Transport is a http.RoundTripper whose answers all have a valid head. It is for requests that do not ask for another
-// protocol. Interim answers and the transfer coding of HTTP/1.0 are not checked, as http.Transport drops both.
+// Transport is a http.RoundTripper whose answers all have a valid head, and whose connections are of type Conn. It is for
+// requests that do not ask for another protocol. Interim answers and the transfer coding of HTTP/1.0 are not checked, as
+// http.Transport drops both.
 type Transport struct {
-	Base http.RoundTripper
+	base *http.Transport
+}
+
+// NewTransport returns a Transport with the settings of another one.
+func NewTransport(settings *http.Transport) *Transport {
+	base := settings.Clone()
+	dial := base.DialContext
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		con, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &Conn{Conn: con}, nil
+	}
+	return &Transport{base: base}
 }
 
 // RoundTrip sends a request. It returns an error that wraps ErrHead if the head of the answer is not valid, and closes the
 // connection then.
 func (trn *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	res, err := trn.Base.RoundTrip(req)
+	res, err := trn.base.RoundTrip(req)
 	if err != nil {
 		return nil, err
 	}
@@ -26,5 +48,5 @@
 
 // CloseIdleConnections closes the connections that are not in use; http.Client calls it.
 func (trn *Transport) CloseIdleConnections() {
-	(&http.Client{Transport: trn.Base}).CloseIdleConnections()
+	trn.base.CloseIdleConnections()
 }
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -50,11 +50,11 @@
 // NewClient returns a client that pools connections for load requests only; other calls open a connection each.
 func NewClient() *Client {
 	return &Client{
-		HTTP: &http.Client{Transport: &answer.Transport{Base: &http.Transport{
+		HTTP: &http.Client{Transport: answer.NewTransport(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}).DialContext,
 			MaxIdleConnsPerHost: 64,
 			IdleConnTimeout:     30 * time.Second,
-		}}},
+		})},
 		SilenceTimeout: DefaultSilenceTimeout,
 	}
 }
--- a/endpoint/service.go
+++ b/endpoint/service.go
@@ -23,10 +23,10 @@
 }
 
 // serviceTransport never reuses a connection, because net/http resends some requests when a reused connection fails.
-var serviceTransport = &answer.Transport{Base: &http.Transport{
+var serviceTransport = answer.NewTransport(&http.Transport{
 	DialContext:       (&net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}).DialContext,
 	DisableKeepAlives: true,
-}}
+})
 
 // Call sends a request to a plain service without ever resending it, and without following redirects.
 func (clt *Client) Call(ctx context.Context, tgt Target, req ServiceRequest) (*http.Response, error) {
--- a/gateway/hostile_test.go
+++ b/gateway/hostile_test.go
@@ -127,7 +127,9 @@
 			upd.Endpoints = append(upd.Endpoints, edp)
 		}
 	}
-	cat, err := platform.ParseCatalog(bytes.ReplaceAll(configuration("1", nil), []byte(`"targetLatencyMs":3000`), []byte(`"targetLatencyMs":300`)))
+	data := bytes.ReplaceAll(configuration("1", nil), []byte(`"targetLatencyMs":3000`), []byte(`"targetLatencyMs":300`))
+	data = bytes.Replace(data, []byte(`"maxBodyBytes":4096`), []byte(`"maxBodyBytes":4194304`), 1)
+	cat, err := platform.ParseCatalog(data)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -91,7 +91,7 @@
 			return nil, &SendError{Err: err}
 		}
 	}
-	lnk := &Link{conn: con}
+	lnk := &Link{conn: &answer.Conn{Conn: con}}
 	lnk.stop = context.AfterFunc(ctx, lnk.closeConn)
 	if err := lnk.exchange(out); err != nil {
 		lnk.Close()
@@ -114,7 +114,7 @@
 		req.Body = io.NopCloser(bytes.NewReader(out.Body))
 	}
 	if len(out.Body) > concurrentWriteBytes {
-		// The error needs no handling: if the write fails, reading the answer fails too.
+		// The error needs no handling: the connection reports a failure when the answer is read.
 		go func() { _ = req.Write(lnk.conn) }()
 	} else if err := req.Write(lnk.conn); err != nil {
 		return err
--- a/provider/http.go
+++ b/provider/http.go
@@ -26,7 +26,7 @@
 )
 
 // transport is shared by all clients of the platform's services, and so are its connections.
-var transport = &answer.Transport{Base: http.DefaultTransport}
+var transport = answer.NewTransport(http.DefaultTransport.(*http.Transport))
 
 // HTTPLog is a client of the log service over HTTP.
 type HTTPLog struct {
--- a/provider/http_test.go
+++ b/provider/http_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
+	"time"
 
 	"papayacroft/provider"
 	"papayacroft/standin"
@@ -77,3 +79,24 @@
 		server.Close()
 	}
 }
+
+// An answer to a long request that ends with its connection must be an error if the connection was reset, whatever its body says.
+func TestEarlyAnswers(t *testing.T) {
+	server, err := standin.StartEarlyServer(func(*http.Request) standin.EarlyAnswer {
+		return standin.EarlyAnswer{Data: "HTTP/1.1 200 OK\r\n\r\n{}", End: standin.EarlyReset, Pause: 20 * time.Millisecond}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	log := provider.NewHTTPLog("http://" + server.Address())
+	var grp sync.WaitGroup
+	for range 20 {
+		grp.Go(func() {
+			if _, err := log.Append(t.Context(), "stream", make([]byte, 4<<20)); err == nil {
+				t.Error("got no error, want one")
+			}
+		})
+	}
+	grp.Wait()
+}
