Read the answer also if the request could not be written

Seen by callers: a whole early answer was lost, and they got 502, if the endpoint reset the connection after it and a write saw that: of entry daemons with long uploads, of gateways with bodies that are written before the answer is read (16 KiB at most). No part was passed on.

Cause: http.Transport, and gateway.Link for short bodies, took a failed write for the end of the exchange. RFC 9112, section 9.5, has a client read the answer that may have arrived before.

Change: answer.Conn discards what is written after the peer has closed or reset the connection, and returns no error; the reader gets the answer, and after it the recorded error. Other errors of writes are returned as before.

--- a/answer/conn.go
+++ b/answer/conn.go
@@ -11,9 +11,9 @@
 	"time"
 )
 
-// Conn is a connection whose reads end with io.EOF only if the peer has closed it, and not if it has failed. The kernel
-// reports a failure, such as a reset, once: if a concurrent write sees it, the next read returns io.EOF, which would make an
-// answer without a length look complete.
+// Conn is a connection whose failures are reported after all that has been received. The kernel reports a failure, such as a
+// reset, once: if a concurrent write sees it, the next read returns io.EOF, which would make an answer without a length look
+// complete.
 type Conn struct {
 	net.Conn
 
@@ -22,7 +22,8 @@
 	failure error
 }
 
-// Write writes to the connection.
+// Write writes to the connection. After the peer has closed or reset it, Write discards the data and returns no error: the peer
+// may have sent a complete answer before it read the whole request, and clients that see a write fail do not read that answer.
 func (con *Conn) Write(data []byte) (int, error) {
 	con.mu.Lock()
 	defer con.mu.Unlock()
@@ -30,6 +31,9 @@
 	if con.failure == nil && isFailure(err) {
 		con.failure = err
 	}
+	if errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) {
+		return len(data), nil
+	}
 	return num, err
 }
 
@@ -39,7 +43,8 @@
 	return err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed)
 }
 
-// Read reads from the connection. At its end, a blocked write ends too.
+// Read reads from the connection. It returns io.EOF only if the peer has closed the connection and it has not failed; a blocked
+// write ends too then.
 func (con *Conn) Read(buf []byte) (int, error) {
 	num, err := con.Conn.Read(buf)
 	if !errors.Is(err, io.EOF) {
--- a/endpoint/early_test.go
+++ b/endpoint/early_test.go
@@ -27,7 +27,7 @@
 	whole string
 }
 
-// An answer that ends with its connection must not look complete if the connection was reset.
+// An answer that ends with its connection must not look complete if the connection was reset; a complete one must arrive.
 func TestEarlyAnswers(t *testing.T) {
 	for name, ans := range map[string]earlyAnswer{
 		"reset":       {data: "HTTP/1.1 200 OK\r\n\r\nhello", end: standin.EarlyReset, pause: 20 * time.Millisecond},
@@ -35,6 +35,9 @@
 		"resetAtOnce": {data: "HTTP/1.1 200 OK\r\n\r\nhello", end: standin.EarlyReset},
 		"failure":     {data: "HTTP/1.1 500 Internal Server Error\r\n\r\nhello", end: standin.EarlyReset, pause: 20 * time.Millisecond},
 		"finish":      {data: "HTTP/1.1 200 OK\r\n\r\nhello", end: standin.EarlyFinish, whole: "hello"},
+		"finishReset": {data: "HTTP/1.1 200 OK\r\n\r\nhello", end: standin.EarlyFinishReset, whole: "hello"},
+		"wholeLength": {data: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", end: standin.EarlyReset, whole: "hello"},
+		"wholeChunks": {data: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", end: standin.EarlyReset, whole: "hello"},
 	} {
 		t.Run(name, func(t *testing.T) { ans.play(t) })
 	}
