End answers to clients of HTTP/1.0 with a reset if they break off

Seen by callers: a client of HTTP/1.0 got the part of a stream that had arrived as the complete answer, if the stream broke off at its engine, or if the gateway or entry daemon ended meanwhile.

Cause: net/http ends an answer without a length to HTTP/1.0 by closing the connection, and an aborted one alike: both are a FIN.

Change: while the gate's handler serves a request of HTTP/1.0, SO_LINGER of its connection is 0, so that closing it is a reset, also when the process ends. It is restored when the handler returns without a panic, so that whole answers end with a FIN as before.

Evidence: TestLegacyClientSeesBrokenAnswer failed before in both cases (16481 bytes, no error) and passes now, 20 times with the race detector; so does TestLegacyClientGetsWholeAnswer, which passed before too.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -458,3 +458,18 @@
 	})
 	return con.Conn.Close()
 }
+
+// setResetOnClose sets whether the end of the connection, also with the process, is a reset.
+func (con *Conn) setResetOnClose(isSet bool) {
+	tcp, ok := con.Conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	// -1 is the default of the system.
+	seconds := -1
+	if isSet {
+		seconds = 0
+	}
+	// An error means that the connection has ended already.
+	_ = tcp.SetLinger(seconds)
+}
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -155,13 +155,24 @@
 	}
 }
 
-// Handler releases what each request has reserved when it ends.
+// Handler releases what each request has reserved when it ends. While it is served, the end of its connection is a reset if the
+// client may take it for the end of the answer otherwise.
 func (gat *Gate) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
-		if con := connOf(req.Context()); con != nil {
-			defer con.endRequest()
+		con := connOf(req.Context())
+		if con == nil {
+			next.ServeHTTP(wri, req)
+			return
 		}
+		defer con.endRequest()
+		if req.ProtoAtLeast(1, 1) {
+			next.ServeHTTP(wri, req)
+			return
+		}
+		con.setResetOnClose(true)
 		next.ServeHTTP(wri, req)
+		// Not reached if the handler aborts the answer.
+		con.setResetOnClose(false)
 	})
 }
 
