Break off the answers of callers that have closed their sending direction

Seen by callers: a client that closes its sending direction after the request, and reads on, got the part of a stream that had arrived as the complete answer, or an empty 200 before the first event; of an entry daemon, an empty 200 in place of a whole answer.

Cause: net/http ends the context of such a request as if the client were gone. The handlers stopped there and returned, and net/http then ends the answer as a complete one.

Change: a gateway aborts the connection, as it does if the stream breaks off for another reason. An entry daemon answers 502 (unknown), or ends the stream with an error event. Plain calls of gateways got 502 before and do so now. Entry daemons count such requests as unknown now, not as answered.

Evidence: TestHalfClosedClients failed before for all four streams of gateway and in entry; it passes now, three times with the race detector. The packages gateway, entry, daemon, soak, test, intake and proof pass with it, once each.

--- a/entry/generation.go
+++ b/entry/generation.go
@@ -116,7 +116,11 @@
 		if errors.Is(lost, errCallerGone) && isStopping(ctx) {
 			return srv.endForShutdown(cal, gen, snk)
 		}
-		if lost == nil || errors.Is(lost, errCallerGone) {
+		if errors.Is(lost, errCallerGone) {
+			// A caller that closed only its sending direction counts as gone too, and still reads.
+			return srv.reportRefusal(snk, unknown(routing.CodeOutcomeUnknown, "the caller disconnected before the answer was complete"))
+		}
+		if lost == nil {
 			return nil
 		}
 		if ref := srv.prepareRestart(ctx, cal, gen, snk, lost); ref != nil {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -105,7 +105,7 @@
 		}
 		if rqs.http.Context().Err() != nil {
 			rqs.logger.WithField("events", one.events).Info("caller disconnected during the stream")
-			return nil
+			break
 		}
 		rqs.logger.WithError(err).WithFields(logrus.Fields{fieldEndpoint: one.endpoint.ID, fieldEvents: one.events}).Info("stream interrupted")
 		if !one.hasCrashed(ctx) && ctx.Err() == nil && srv.refuseCondemned(srv.Now(), rqs) == nil && one.resume(ctx) {
@@ -118,10 +118,12 @@
 			return failed("the engine broke off before the first event: %v", err)
 		}
 		rqs.logger.WithFields(logrus.Fields{fieldEvents: one.events, fieldElapsed: srv.Now().Sub(rqs.begun)}).Warn("stream ended early")
-		srv.Metrics.requests.WithLabelValues(rqs.kind(), "0").Inc()
-		// Abort the connection, so that the caller does not take the truncated stream for a complete one.
-		panic(http.ErrAbortHandler)
+		break
 	}
+	srv.Metrics.requests.WithLabelValues(rqs.kind(), "0").Inc()
+	// Abort the connection, so that the caller does not take the truncated stream for a complete one: one that counts as
+	// disconnected may have closed only its sending direction.
+	panic(http.ErrAbortHandler)
 }
 
 // usualOutputShare is the mean output length as a fraction of the requested maximum. The callers' own estimates are
