Write long bodies in large pieces again

Cause: since links use answer.Conn, which hid TCPConn.ReadFrom, net/http wrote long bodies in pieces of its 4 KB buffer.

Change: Conn has ReadFrom, so the pieces are of 32 KB as before. TestEarlyAnswers and the tests of Conn pass with the race detector.

Two comments of intake say more plainly when a connection is reset.

--- a/answer/conn.go
+++ b/answer/conn.go
@@ -37,6 +37,21 @@
 	return num, err
 }
 
+// ReadFrom writes what a reader returns. A bufio.Writer uses it to write long bodies in larger pieces than its buffer.
+func (con *Conn) ReadFrom(src io.Reader) (int64, error) {
+	return io.Copy(connWriter{con}, src)
+}
+
+// connWriter is a Conn without ReadFrom, which io.Copy would call.
+type connWriter struct {
+	con *Conn
+}
+
+// Write writes to the connection.
+func (wri connWriter) Write(data []byte) (int, error) {
+	return wri.con.Write(data)
+}
+
 // isFailure reports whether the error of a write shows that the connection has failed. EPIPE does not: a write returns it
 // after a reset that follows the end of what the peer has sent.
 func isFailure(err error) bool {
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -459,7 +459,7 @@
 	return con.Conn.Close()
 }
 
-// setResetOnClose sets whether the end of the connection, also with the process, is a reset.
+// setResetOnClose sets whether closing the connection resets it, also when the process ends.
 func (con *Conn) setResetOnClose(isSet bool) {
 	tcp, ok := con.Conn.(*net.TCPConn)
 	if !ok {
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -155,8 +155,8 @@
 	}
 }
 
-// Handler releases what each request has reserved when it ends. While it is served, the end of its connection is a reset if the
-// client may take it for the end of the answer otherwise.
+// Handler releases what each request has reserved when it ends. While a request of HTTP/1.0 is served, closing its connection
+// resets it: the client may take a plain end of the connection for the end of the answer.
 func (gat *Gate) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
 		con := connOf(req.Context())
