Call with a closed sending direction in one place of the stand-ins

Cause: TestHalfClosedClients of gateway and entry had the same lines for such a call. Change: standin.CallHalfClosed has them.

--- a/entry/halfclose_test.go
+++ b/entry/halfclose_test.go
@@ -1,14 +1,14 @@
 package entry
 
 import (
-	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
+
+	"papayacroft/standin"
 )
 
 // A client that has closed its sending direction after the request may still read: it must not get an answer without the text.
@@ -29,25 +29,8 @@
 		t.Fatal(err)
 	}
 	req.Header.Set("Authorization", "Bearer secret")
-	con, err := net.Dial("tcp", web.Listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer con.Close()
-	if err := req.Write(con); err != nil {
-		t.Fatal(err)
-	}
-	time.Sleep(50 * time.Millisecond)
-	if err := con.(*net.TCPConn).CloseWrite(); err != nil {
-		t.Fatal(err)
-	}
-	res, err := http.ReadResponse(bufio.NewReader(con), req)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer res.Body.Close()
-	data, err := io.ReadAll(res.Body)
-	if err != nil || res.StatusCode != http.StatusBadGateway || !strings.Contains(string(data), `"outcome":"unknown"`) {
-		t.Errorf("got status %d, body %q, error %v; want 502 and unknown", res.StatusCode, data, err)
+	status, answer, err := standin.CallHalfClosed(web.Listener.Addr().String(), req, 50*time.Millisecond)
+	if err != nil || status != http.StatusBadGateway || !strings.Contains(answer, `"outcome":"unknown"`) {
+		t.Errorf("got status %d, body %q, error %v; want 502 and unknown", status, answer, err)
 	}
 }
--- a/gateway/halfclose_test.go
+++ b/gateway/halfclose_test.go
@@ -1,9 +1,7 @@
 package gateway_test
 
 import (
-	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -39,30 +37,13 @@
 	}
 }
 
-// callHalfClosed sends a request, closes the sending direction while it is served and reads the answer.
-func callHalfClosed(t *testing.T, front, path string) earlyResult {
+// callHalfClosed calls a path of the server.
+func callHalfClosed(t *testing.T, front, path string) (res earlyResult) {
 	t.Helper()
 	req, err := standin.NewSiteCall(t.Context(), "http://"+front+"/"+path, "id-1", "key-one", time.Minute)
 	if err != nil {
 		t.Fatal(err)
 	}
-	con, err := net.Dial("tcp", front)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer con.Close()
-	if err := req.Write(con); err != nil {
-		t.Fatal(err)
-	}
-	time.Sleep(earlyPause)
-	if err := con.(*net.TCPConn).CloseWrite(); err != nil {
-		t.Fatal(err)
-	}
-	res, err := http.ReadResponse(bufio.NewReader(con), req)
-	if err != nil {
-		return earlyResult{err: err}
-	}
-	defer res.Body.Close()
-	body, err := io.ReadAll(res.Body)
-	return earlyResult{status: res.StatusCode, body: string(body), err: err}
+	res.status, res.body, res.err = standin.CallHalfClosed(front, req, earlyPause)
+	return res
 }
