Let the connection open before a test resets it

Then nothing was sent, and there is no answer to read.

Change: the endpoint waits for the check that is made between the dial and the request.

--- a/gateway/link_test.go
+++ b/gateway/link_test.go
@@ -16,10 +16,11 @@
 		t.Fatal(err)
 	}
 	defer lis.Close()
-	answered := make(chan error, 1)
+	connected, answered := make(chan struct{}), make(chan error, 1)
 	go func() {
 		con, err := lis.Accept()
 		if err == nil {
+			<-connected
 			_, err = io.WriteString(con, "HTTP/1.1 413 Content Too Large\r\nContent-Length: 5\r\n\r\nhello")
 			_ = con.(*net.TCPConn).SetLinger(0)
 			_ = con.Close()
@@ -28,7 +29,10 @@
 	}()
 	lnk, err := Open(t.Context(), lis.Addr().String(), &Outgoing{
 		Method: http.MethodPost, URL: &url.URL{Path: "/x"}, Host: "site.example", Header: http.Header{}, Body: []byte("x"),
-		Check: func() error { return <-answered },
+		Check: func() error {
+			close(connected)
+			return <-answered
+		},
 	})
 	if err != nil {
 		t.Fatalf("got error %v, want an answer", err)
