--- a/exchange/feed.go
+++ b/exchange/feed.go
@@ -217,6 +217,9 @@
 		fed.backOff(ctx, now, err)
 		return
 	}
+	if whole || fed.pause != minFeedPause {
+		fed.Logger.WithFields(logrus.Fields{"topic": fed.Topic, "whole": whole, "from": fed.next, "next": next, "records": len(records)}).Info("topic read")
+	}
 	fed.pause, fed.next, fed.due = minFeedPause, next, now.Add(fed.Interval)
 	fed.Control.Send(ctx, control.StoreRead{})
 	if whole || len(records) > 0 {
