Read a topic whole if the store's era has changed

Cause: a gateway reads a topic on from the offset after the last record it has seen. The store assigns the offsets after its copy again. Once its log had grown back to the old length, a read from the old offset succeeded and returned nothing, so the records before it were never read.

Fix: offsets are kept with the era of the answer that they come from, and a read whose answer has another era returns an error instead of records; the feed then reads the topic whole. That does not depend on how long the new log is.

--- a/exchange/feed.go
+++ b/exchange/feed.go
@@ -55,12 +55,21 @@
 	Offset int64 `json:"offset,omitempty"`
 }
 
+// Position is a place in the log of a topic. Offsets of different eras can't be compared: a store that returns from an older copy
+// of its data raises its era and assigns the offsets after the copy again.
+type Position struct {
+	// Era is the era that the store stated; 0 if it stated none.
+	Era    int64
+	Offset int64
+}
+
 // TopicReader reads the topics of the store.
 type TopicReader interface {
-	// Newest returns the newest record of each key and the offset at which to continue with Read.
-	Newest(ctx context.Context, topic string) (records []Record, next int64, err error)
-	// Read returns the records from an offset on; if there is none yet, it waits up to the given time for the first.
-	Read(ctx context.Context, topic string, from int64, wait time.Duration) (records []Record, next int64, err error)
+	// Newest returns the newest record of each key and the position at which to continue with Read.
+	Newest(ctx context.Context, topic string) (records []Record, next Position, err error)
+	// Read returns the records from a position on; if there is none yet, it waits up to the given time for the first. If the
+	// store's era is not that of the position, it returns an error for which IsEraChanged is true.
+	Read(ctx context.Context, topic string, from Position, wait time.Duration) (records []Record, next Position, err error)
 }
 
 // TopicPart is a range of a topic that one daemon read from the store and shares with its peers.
@@ -79,6 +88,16 @@
 	return trace.IsNotFound(err)
 }
 
+// ErrorEraChanged returns the error of a read that met another era of the store.
+func ErrorEraChanged(topic string, known, stated int64) error {
+	return trace.CompareFailed("%s was read in era %d of the store, which is now in era %d", topic, known, stated)
+}
+
+// IsEraChanged reports whether a read failed because the store's era is not that of the position read from.
+func IsEraChanged(err error) bool {
+	return trace.IsCompareFailed(err)
+}
+
 // Feed follows one topic. Calls to the store are rate-limited and billed, so one daemon reads the topic and shares what
 // it read with its peers. A peer reads the topic itself only if no part has arrived for a while, in an order of
 // succession that all daemons derive alike, or once if it missed a part.
@@ -101,7 +120,7 @@
 	// Rank returns how many answering daemons precede this one in the succession of the topic's reader.
 	Rank func(topic string) int
 
-	next int64
+	next Position
 	// settling is true from the first reading until the daemon's place in the succession is determined.
 	settling bool
 	// started is true from the first reading on.
@@ -124,7 +143,7 @@
 
 // NewFeed returns a feed that needs its exported fields set before Run.
 func NewFeed() *Feed {
-	return &Feed{Now: time.Now, Rank: func(string) int { return 0 }, next: unread, pause: minFeedPause, parts: make(chan *TopicPart, feedBuffer)}
+	return &Feed{Now: time.Now, Rank: func(string) int { return 0 }, next: Position{Offset: unread}, pause: minFeedPause, parts: make(chan *TopicPart, feedBuffer)}
 }
 
 // Enqueue queues a part that a peer read, to be applied by Run. It does not block: if the queue is full, it drops the part.
@@ -140,7 +159,7 @@
 // Next returns the offset after the records that were read; it is for Apply, which runs in the feed's goroutine, and for whole
 // topics.
 func (fed *Feed) Next() int64 {
-	return fed.next
+	return fed.next.Offset
 }
 
 // Busy reports whether parts or reads wait to be applied.
@@ -199,7 +218,7 @@
 
 // read reads the topic from the store, applies the records and shares them with the peers.
 func (fed *Feed) read(ctx context.Context) {
-	whole, behind := fed.next == unread, fed.behind
+	whole, behind := fed.next.Offset == unread, fed.behind
 	fed.behind = false
 	// The first read of a daemon that takes over does not wait, so that its peers soon hear that it can read the topic.
 	wait := fed.Wait
@@ -217,9 +236,7 @@
 		fed.backOff(ctx, now, err)
 		return
 	}
-	if whole || fed.pause != minFeedPause {
-		fed.Logger.WithFields(logrus.Fields{"topic": fed.Topic, "whole": whole, "from": fed.next, "next": next, "records": len(records)}).Info("topic read")
-	}
+	fed.logRead(next, len(records))
 	fed.pause, fed.next, fed.due = minFeedPause, next, now.Add(fed.Interval)
 	fed.Control.Send(ctx, control.StoreRead{})
 	if whole || len(records) > 0 {
@@ -229,31 +246,41 @@
 	}
 	switch {
 	case whole:
-		fed.shared, fed.settling = next, !fed.started
+		fed.shared, fed.settling = next.Offset, !fed.started
 		if fed.settling {
 			fed.started, fed.due = true, now.Add(settleTime)
 		}
 	case behind:
-		fed.shared, fed.due = next, now.Add(fed.silence()+fed.succession())
+		fed.shared, fed.due = next.Offset, now.Add(fed.silence()+fed.succession())
 	default:
 		fed.readAt = now
 		if takesOver || len(records) > 0 || now.Sub(fed.sharedAt) >= emptyInterval {
-			fed.share(now, next, records)
+			fed.share(now, next.Offset, records)
 		}
 	}
 }
 
+// logRead logs a whole reading, and the first one that succeeds after failed ones.
+func (fed *Feed) logRead(next Position, records int) {
+	whole := fed.next.Offset == unread
+	if whole || fed.pause != minFeedPause {
+		fed.Logger.WithFields(logrus.Fields{
+			"topic": fed.Topic, "whole": whole, "from": fed.next.Offset, "next": next.Offset, "era": next.Era, "records": records,
+		}).Info("topic read")
+	}
+}
+
 // backOff decides when to read again after a failed read.
 func (fed *Feed) backOff(ctx context.Context, now time.Time, err error) {
-	if IsTrimmed(err) {
-		fed.Logger.WithFields(logrus.Fields{"topic": fed.Topic, "from": fed.next}).Info("records were trimmed before they were read; reading the whole topic")
-		fed.next, fed.due = unread, now
+	if IsTrimmed(err) || IsEraChanged(err) {
+		fed.Logger.WithError(err).WithFields(logrus.Fields{"topic": fed.Topic, "from": fed.next.Offset}).Info("records can't be read from this offset on; reading the whole topic")
+		fed.next.Offset, fed.due = unread, now
 		return
 	}
 	fed.Control.Send(ctx, control.StoreRead{Err: err})
 	fed.due = now.Add(spread(fed.pause))
 	// A daemon that has not read the topic yet knows nothing to serve by, so it does not wait for others.
-	if fed.next != unread && fed.Rank(fed.Topic) >= successors {
+	if fed.next.Offset != unread && fed.Rank(fed.Topic) >= successors {
 		fed.pause = min(othersBackOffFactor*fed.pause, maxOthersPause)
 	} else {
 		fed.pause = min(backOffFactor*fed.pause, maxFeedPause)
@@ -261,8 +288,8 @@
 }
 
 // fetch reads the whole topic or what follows the records known so far.
-func (fed *Feed) fetch(ctx context.Context, wait time.Duration) ([]Record, int64, error) {
-	if fed.next == unread {
+func (fed *Feed) fetch(ctx context.Context, wait time.Duration) ([]Record, Position, error) {
+	if fed.next.Offset == unread {
 		return fed.Reader.Newest(ctx, fed.Topic)
 	}
 	return fed.Reader.Read(ctx, fed.Topic, fed.next, wait)
@@ -284,18 +311,18 @@
 func (fed *Feed) applyPart(ctx context.Context, part *TopicPart) {
 	defer fed.pending.Add(-1)
 	now := fed.Now()
-	if fed.next == unread {
+	if fed.next.Offset == unread {
 		return
 	}
 	var records []Record
-	if part.Next > fed.next {
+	if part.Next > fed.next.Offset {
 		var err error
 		if records, err = part.each((*Record).unpack); err != nil {
 			fed.Logger.WithError(err).WithField("peer", part.Reader).Warn("topic part from a peer could not be unpacked; ignored")
 			return
 		}
 	}
-	if part.From > fed.next {
+	if part.From > fed.next.Offset {
 		// Parts before this one are missing. Its records are the newest of their keys all the same, so they are applied
 		// even if the store can't be read to close the gap.
 		fed.Apply(ctx, records, false)
@@ -304,9 +331,9 @@
 		}
 		return
 	}
-	if part.Next > fed.next {
+	if part.Next > fed.next.Offset {
 		fed.Apply(ctx, records, false)
-		fed.next, fed.shared = part.Next, part.Next
+		fed.next.Offset, fed.shared = part.Next, part.Next
 	}
 	fed.pause = minFeedPause
 	fed.Control.Send(ctx, control.StoreRead{})
--- a/exchange/feed_test.go
+++ b/exchange/feed_test.go
@@ -27,14 +27,14 @@
 }
 
 // Newest returns no records.
-func (rdr *sharedTopicReader) Newest(context.Context, string) ([]exchange.Record, int64, error) {
-	return nil, 0, nil
+func (rdr *sharedTopicReader) Newest(context.Context, string) ([]exchange.Record, exchange.Position, error) {
+	return nil, exchange.Position{}, nil
 }
 
 // Read returns no records; meanwhile, a part from the other daemon arrives.
-func (rdr *sharedTopicReader) Read(_ context.Context, topic string, from int64, _ time.Duration) ([]exchange.Record, int64, error) {
+func (rdr *sharedTopicReader) Read(_ context.Context, topic string, from exchange.Position, _ time.Duration) ([]exchange.Record, exchange.Position, error) {
 	rdr.reads.Add(1)
-	rdr.feed.Enqueue(&exchange.TopicPart{Topic: topic, Reader: rdr.peer, From: from, Next: from})
+	rdr.feed.Enqueue(&exchange.TopicPart{Topic: topic, Reader: rdr.peer, From: from.Offset, Next: from.Offset})
 	return nil, from, nil
 }
 
--- a/exchange/simnet_test.go
+++ b/exchange/simnet_test.go
@@ -259,6 +259,8 @@
 type simStore struct {
 	mutex  sync.Mutex
 	topics map[string]*simTopic
+	// era rises when the store returns from a copy.
+	era int64
 }
 
 type simTopic struct {
@@ -270,7 +272,7 @@
 }
 
 func newSimStore() *simStore {
-	return &simStore{topics: map[string]*simTopic{}}
+	return &simStore{topics: map[string]*simTopic{}, era: 1}
 }
 
 func (sto *simStore) topic(name string) *simTopic {
@@ -291,19 +293,21 @@
 	top.grown = make(chan struct{})
 }
 
-// since returns a copy of the records from an offset on and a channel that is closed when there are more or fewer.
-func (sto *simStore) since(name string, from int64) ([]exchange.Record, chan struct{}) {
+// since returns a copy of the records from an offset on, none if the log is shorter, and a channel that is closed when there are
+// more or fewer. It also returns the store's era.
+func (sto *simStore) since(name string, from int64) ([]exchange.Record, chan struct{}, int64) {
 	sto.mutex.Lock()
 	defer sto.mutex.Unlock()
 	top := sto.topic(name)
-	return slices.Clone(top.records[from:]), top.grown
+	return slices.Clone(top.records[min(from, int64(len(top.records))):]), top.grown, sto.era
 }
 
-// isTrimmed reports whether records from an offset on were dropped.
-func (sto *simStore) isTrimmed(name string, from int64) bool {
+// isMissing reports whether records from an offset on were dropped, or the log ends before it.
+func (sto *simStore) isMissing(name string, from int64) bool {
 	sto.mutex.Lock()
 	defer sto.mutex.Unlock()
-	return from < sto.topic(name).first
+	top := sto.topic(name)
+	return from < top.first || from > int64(len(top.records))
 }
 
 type simClient struct {
@@ -322,11 +326,11 @@
 }
 
 // Newest returns the newest record of each key.
-func (clt *simClient) Newest(_ context.Context, topic string) ([]exchange.Record, int64, error) {
+func (clt *simClient) Newest(_ context.Context, topic string) ([]exchange.Record, exchange.Position, error) {
 	if err := clt.call(); err != nil {
-		return nil, 0, err
+		return nil, exchange.Position{}, err
 	}
-	all, _ := clt.store.since(topic, 0)
+	all, _, era := clt.store.since(topic, 0)
 	last := map[string]exchange.Record{}
 	for _, rec := range all {
 		last[rec.Key] = rec
@@ -337,28 +341,31 @@
 			newest = append(newest, rec)
 		}
 	}
-	return newest, int64(len(all)), nil
+	return newest, exchange.Position{Era: era, Offset: int64(len(all))}, nil
 }
 
-// Read waits for records from an offset on.
-func (clt *simClient) Read(ctx context.Context, topic string, from int64, wait time.Duration) ([]exchange.Record, int64, error) {
+// Read waits for records from a position on.
+func (clt *simClient) Read(ctx context.Context, topic string, from exchange.Position, wait time.Duration) ([]exchange.Record, exchange.Position, error) {
 	if err := clt.call(); err != nil {
 		return nil, from, err
 	}
-	records, grown := clt.store.since(topic, from)
-	if len(records) == 0 {
+	records, grown, era := clt.store.since(topic, from.Offset)
+	if len(records) == 0 && era == from.Era {
 		select {
 		case <-grown:
 		case <-time.After(wait):
 		case <-ctx.Done():
 			return nil, from, ctx.Err()
 		}
-		records, _ = clt.store.since(topic, from)
+		records, _, era = clt.store.since(topic, from.Offset)
+	}
+	if era != from.Era {
+		return nil, from, exchange.ErrorEraChanged(topic, from.Era, era)
 	}
-	if clt.store.isTrimmed(topic, from) {
+	if clt.store.isMissing(topic, from.Offset) {
 		return nil, from, trace.NotFound("trimmed")
 	}
-	return records, from + int64(len(records)), nil
+	return records, exchange.Position{Era: era, Offset: from.Offset + int64(len(records))}, nil
 }
 
 // Write appends a record.
--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -62,6 +62,7 @@
 	t       *testing.T
 	line    string
 	store   *standin.KeyedStore
+	copied  *standin.KeyedCopy
 	engines map[string]*siteEndpoint
 	pool    *standin.SiteEngines
 	daemons map[string]*siteDaemon
@@ -185,6 +186,10 @@
 		sit.writeOdd(args[1], args[2])
 	case "compact": // compact TOPIC: deletes the topic's records except the newest of each key
 		sit.store.Compact(args[1])
+	case "copy": // copy: copies what the store holds
+		sit.copied = sit.store.Copy()
+	case "restore": // restore: the store holds what it held at the last copy, and its era rises
+		sit.store.Restore(sit.copied)
 	case "store": // store MODE: sets the fault mode of the store; up means none
 		sit.store.SetMode(standin.StoreMode(strings.ReplaceAll(args[1], "up", "")))
 	case "deny": // deny DAEMON: the store refuses this daemon's requests from now on
--- a/standin/keyedstore.go
+++ b/standin/keyedstore.go
@@ -5,7 +5,9 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -20,6 +22,13 @@
 	topics map[string]*keyedTopic
 	mode   StoreMode
 	calls  int
+	// era is the value of headerEra; it rises when the store returns from a copy.
+	era int
+}
+
+// KeyedCopy is a copy of what a store held.
+type KeyedCopy struct {
+	topics map[string]*keyedTopic
 }
 
 // StoreMode selects a fault that the store injects.
@@ -31,6 +40,8 @@
 	StoreUp StoreMode = ""
 	// StoreBusy answers each call with status 503.
 	StoreBusy StoreMode = "busy"
+	// StoreReset resets the connection of each call and executes none.
+	StoreReset StoreMode = "reset"
 	// StoreSilent never answers and executes no call.
 	StoreSilent StoreMode = "silent"
 	// StoreLosesAnswers executes appends but does not answer them; reads are answered.
@@ -61,11 +72,12 @@
 	// keyedRecordHeaderBytes is the length in bytes of a record's length prefix.
 	keyedRecordHeaderBytes = 4
 	maxAppendBytes         = 2 << 20
+	headerEra              = "Store-Era"
 )
 
 // NewKeyedStore returns an empty store.
 func NewKeyedStore() *KeyedStore {
-	return &KeyedStore{topics: map[string]*keyedTopic{}}
+	return &KeyedStore{topics: map[string]*keyedTopic{}, era: 1}
 }
 
 // SetMode changes the fault that the store injects into further calls.
@@ -115,6 +127,36 @@
 	delete(kst.topic(topic).newest, key)
 }
 
+// Copy returns a copy of what the store holds.
+func (kst *KeyedStore) Copy() *KeyedCopy {
+	kst.mutex.Lock()
+	defer kst.mutex.Unlock()
+	return &KeyedCopy{topics: copyTopics(kst.topics)}
+}
+
+// Restore makes the store hold what it held when a copy was made, and raises its era. Calls that it has not answered get no
+// answer.
+func (kst *KeyedStore) Restore(cpy *KeyedCopy) {
+	kst.mutex.Lock()
+	defer kst.mutex.Unlock()
+	old := kst.topics
+	kst.topics = copyTopics(cpy.topics)
+	kst.era++
+	for _, top := range old {
+		close(top.changed)
+	}
+}
+
+func copyTopics(topics map[string]*keyedTopic) map[string]*keyedTopic {
+	copied := map[string]*keyedTopic{}
+	for name, top := range topics {
+		copied[name] = &keyedTopic{
+			first: top.first, records: slices.Clone(top.records), newest: maps.Clone(top.newest), changed: make(chan struct{}), deliveries: top.deliveries,
+		}
+	}
+	return copied
+}
+
 func (kst *KeyedStore) topic(name string) *keyedTopic {
 	top, ok := kst.topics[name]
 	if !ok {
@@ -128,12 +170,15 @@
 func (kst *KeyedStore) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
 	kst.mutex.Lock()
 	kst.calls++
-	mode := kst.mode
+	mode, era := kst.mode, kst.era
 	kst.mutex.Unlock()
+	wri.Header().Set(headerEra, strconv.Itoa(era))
 	switch mode {
 	case StoreBusy:
 		wri.WriteHeader(http.StatusServiceUnavailable)
 		return
+	case StoreReset:
+		panic(http.ErrAbortHandler)
 	case StoreSilent:
 		<-req.Context().Done()
 		return
@@ -143,7 +188,7 @@
 	case "/-/log-newest":
 		kst.serveNewest(wri, topic)
 	case "/-/log-read":
-		kst.serveRead(wri, req, topic)
+		kst.serveRead(wri, req, topic, era)
 	case "/-/log-append":
 		kst.serveAppend(wri, req, topic, mode)
 	default:
@@ -168,7 +213,7 @@
 	_ = json.NewEncoder(wri).Encode(map[string]any{"items": items, "more": false, "end": top.first + int64(len(top.records))})
 }
 
-func (kst *KeyedStore) serveRead(wri http.ResponseWriter, req *http.Request, topic string) {
+func (kst *KeyedStore) serveRead(wri http.ResponseWriter, req *http.Request, topic string, era int) {
 	from, err := strconv.ParseInt(req.URL.Query().Get("from"), 10, 64)
 	if err != nil {
 		wri.WriteHeader(http.StatusBadRequest)
@@ -179,11 +224,15 @@
 	defer timer.Stop()
 	for waited := wait == 0; ; {
 		kst.mutex.Lock()
+		if kst.era != era {
+			kst.mutex.Unlock()
+			panic(http.ErrAbortHandler)
+		}
 		top := kst.topic(topic)
-		data, trimmed := top.read(from)
+		data, missing := top.read(from)
 		changed := top.changed
 		kst.mutex.Unlock()
-		if trimmed {
+		if missing {
 			wri.WriteHeader(http.StatusGone)
 			return
 		}
@@ -218,12 +267,13 @@
 	return kst.topic(topic).deliveries
 }
 
-// read returns the response to a read from an offset on; trimmed is true if the records there were compacted away.
-func (top *keyedTopic) read(from int64) (data []byte, trimmed bool) {
-	if from < top.first {
+// read returns the response to a read from an offset on; missing is true if the records there were compacted away, or if the log
+// ends before that offset.
+func (top *keyedTopic) read(from int64) (data []byte, missing bool) {
+	end := top.first + int64(len(top.records))
+	if from < top.first || from > end {
 		return nil, true
 	}
-	end := top.first + int64(len(top.records))
 	data = binary.BigEndian.AppendUint64(nil, uint64(end))
 	data = binary.BigEndian.AppendUint64(data, uint64(top.first))
 	for _, rec := range top.records {
