Accept no key if the list of organisations is empty

Cause: platform.ParseCatalog read an empty list of tenants and a missing one alike, and catalog.Catalog took no organisations for "no key is needed".

Evidence: both gateways logged the version with "tenants":[] as in force, and a key that was never held got 200 after it, 401 before. The log line now has the number of organisations and whether keys are needed.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -132,7 +132,10 @@
 	Routes        []Route
 	Services      map[string]Service
 	Organisations []Organisation
-	Limits        Limits
+	// Keyless is true if the configuration has no list of organisations, so that requests need no key. With an empty list, no key
+	// is accepted.
+	Keyless bool
+	Limits  Limits
 	// Raw is the published document, which daemons send to each other.
 	Raw []byte
 
@@ -140,10 +143,10 @@
 	byKey  map[string]*Organisation
 }
 
-// NewCatalog indexes a configuration.
+// NewCatalog indexes a configuration. It is Keyless if orgs is nil.
 func NewCatalog(version int64, routes []Route, services []Service, orgs []Organisation) *Catalog {
 	cat := &Catalog{
-		Version: version, Routes: routes, Organisations: orgs,
+		Version: version, Routes: routes, Organisations: orgs, Keyless: orgs == nil,
 		Services: map[string]Service{}, byHost: map[string][]*Route{}, byKey: map[string]*Organisation{},
 	}
 	for _, svc := range services {
@@ -175,11 +178,6 @@
 	return best
 }
 
-// RequiresKeys reports whether routes that are not public need a key.
-func (cat *Catalog) RequiresKeys() bool {
-	return len(cat.Organisations) > 0
-}
-
 // Holder returns the organisation that holds a key, or nil.
 func (cat *Catalog) Holder(key string) *Organisation {
 	return cat.byKey[key]
--- a/control/control.go
+++ b/control/control.go
@@ -208,6 +208,7 @@
 	ctl.catalog = upd.Catalog
 	ctl.Logger.WithFields(logrus.Fields{
 		"version": upd.Catalog.Version, "source": upd.Source, "routes": len(upd.Catalog.Routes),
+		"organisations": len(upd.Catalog.Organisations), "keyless": upd.Catalog.Keyless,
 	}).Info("configuration in force")
 }
 
--- a/gateway/scenario_start_test.go
+++ b/gateway/scenario_start_test.go
@@ -162,12 +162,6 @@
 			"kind": "idempotent", "service": "desk", "maxAttempts": 2, "timeoutMs": 2000, "targetLatencyMs": 500,
 		})
 	}
-	var tenants []map[string]any
-	for _, name := range []string{"one", "two"} {
-		if !without[name] {
-			tenants = append(tenants, map[string]any{"name": name, "apiKeys": []string{"key-" + name}})
-		}
-	}
 	engine := map[string]any{
 		"slots": 8, "kvCapacityTokens": 30000, "moves": true, "backups": true, "stride": 4, "handleS": 5, "kvTokenBytes": 1000, "linkMbps": 10000,
 	}
@@ -178,13 +172,28 @@
 		}
 	}
 	num, _ := strconv.Atoi(version)
-	data, _ := json.Marshal(map[string]any{
-		"version": num, "routes": routes, "tenants": tenants, "services": services,
+	doc := map[string]any{
+		"version": num, "routes": routes, "tenants": organisations(without), "services": services,
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
+	}
+	if without["tenants"] {
+		delete(doc, "tenants")
+	}
+	data, _ := json.Marshal(doc)
 	return data
 }
 
+// organisations returns the list of organisations of a configuration.
+func organisations(without map[string]bool) []map[string]any {
+	tenants := []map[string]any{}
+	for _, name := range []string{"one", "two"} {
+		if !without[name] {
+			tenants = append(tenants, map[string]any{"name": name, "apiKeys": []string{"key-" + name}})
+		}
+	}
+	return tenants
+}
+
 func (sit *site) startDaemon(name, domain string) {
 	one := &siteDaemon{done: make(chan error, 1)}
 	storeProxy := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -243,7 +243,7 @@
 		return invalid(http.StatusNotFound, "no route matches host %q and the path, version %d", rqs.http.Host, cat.Version)
 	}
 	rqs.route, rqs.rank = rou, rou.Priority
-	if !rou.Public && cat.RequiresKeys() {
+	if !rou.Public && !cat.Keyless {
 		org := cat.Holder(rqs.Key)
 		if org == nil {
 			return invalid(http.StatusUnauthorized, "the key is not known, version %d", cat.Version)
--- a/lint/compare.go
+++ b/lint/compare.go
@@ -188,12 +188,14 @@
 			lst.compareOrganisation(one.after, &before.Organisations[one.before], &after.Organisations[one.after])
 		}
 	}
-	if before.RequiresKeys() != after.RequiresKeys() {
-		text := "routes that are not public now need a key"
-		if before.RequiresKeys() {
-			text = "no organisation is left: routes that are not public need no key any more"
-		}
-		lst.change(inSection(SectionOrganisations, FieldNone), "%s", text)
+	plc := inSection(SectionOrganisations, FieldNone)
+	switch {
+	case before.Keyless && !after.Keyless:
+		lst.change(plc, "routes that are not public now need a key")
+	case !before.Keyless && after.Keyless:
+		lst.change(plc, "the list of organisations is gone: routes that are not public need no key any more")
+	case len(before.Organisations) > 0 && len(after.Organisations) == 0:
+		lst.change(plc, "no organisation is left: routes that are not public refuse all requests")
 	}
 	moved := 0
 	for key, org := range holders(before) {
--- a/lint/match.go
+++ b/lint/match.go
@@ -105,6 +105,9 @@
 func (lst *list) checkOrganisations(cat *catalog.Catalog) {
 	names := map[string]bool{}
 	holders := map[string]int{}
+	if len(cat.Organisations) == 0 && !cat.Keyless {
+		lst.warn(inSection(SectionOrganisations, FieldNone), "the list of organisations is empty: routes that are not public refuse all requests")
+	}
 	for i, org := range cat.Organisations {
 		if names[org.Name] {
 			lst.warn(inOrganisation(i, FieldName), "another organisation has the name %q", org.Name)
