Let an empty key identify no organisation

What callers saw: if an organisation listed an empty key, requests without a key ran as that organisation's. papayacroft check warned of it, but gateways served it. Cause: a request without a key has the empty key, and the catalog indexed keys without exception.

Fix: the catalog leaves the empty key out, so Holder finds nobody for it; the other keys of the organisation work as before.

Test: TestScenarios/empty_key fails before the fix ("status c1 401: got status 200").

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -158,7 +158,10 @@
 	}
 	for i := range orgs {
 		for _, key := range orgs[i].Keys {
-			cat.byKey[key] = &orgs[i]
+			// A request without a key has the empty one, which must not identify an organisation.
+			if key != "" {
+				cat.byKey[key] = &orgs[i]
+			}
 		}
 	}
 	return cat
--- a/gateway/scenario_call_test.go
+++ b/gateway/scenario_call_test.go
@@ -39,8 +39,11 @@
 	} else if prompt != "" {
 		req.Header.Set("Prompt-Prefix", strings.ReplaceAll(prompt, ",", ":50,")+":50")
 	}
-	if len(key) > 0 {
-		req.Header.Set("Authorization", "Bearer "+key[0])
+	switch {
+	case len(key) > 0 && key[0] == "none":
+		req.Header.Del("Authorization")
+	case len(key) > 0:
+		req.Header.Set("Authorization", "Bearer "+strings.ReplaceAll(key[0], "empty", ""))
 	}
 	go cal.run(req)
 }
--- a/gateway/scenario_start_test.go
+++ b/gateway/scenario_start_test.go
@@ -124,6 +124,8 @@
 			coldPerS, _ = strconv.Atoi(changes[i+1])
 			coldS, _ = strconv.Atoi(changes[i+2])
 			i += 2
+		case "emptyKey": // organisation one has an empty key, too
+			without[changes[i]] = true
 		case "without":
 			i++
 			without[changes[i]] = true
@@ -190,6 +192,9 @@
 		if !without[name] {
 			tenants = append(tenants, map[string]any{"name": name, "apiKeys": []string{"key-" + name}})
 		}
+		if without["emptyKey"] {
+			tenants[0]["apiKeys"] = []string{"key-one", ""}
+		}
 	}
 	return tenants
 }
--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -176,7 +176,7 @@
 // runSite runs commands for the store, the operator and daemons; it returns false for other commands.
 func (sit *site) runSite(args []string) bool {
 	switch args[0] {
-	case "publish": // publish VERSION [without ROUTE|ORGANISATION|tenants]... [move ROUTE SERVICE] [priority ROUTE NUMBER]... [routes COUNT] [cold PER_SECOND SECONDS]
+	case "publish": // publish VERSION [without ROUTE|ORGANISATION|tenants]... [move ROUTE SERVICE] [priority ROUTE NUMBER]... [routes COUNT] [cold PER_SECOND SECONDS] [emptyKey]
 		sit.published = configuration(args[1], args[2:])
 		sit.markTraffic()
 		sit.store.Put("keyed.op", "config", sit.published)
@@ -279,7 +279,7 @@
 // runCaller runs commands for callers; it returns false for other commands.
 func (sit *site) runCaller(args []string) bool {
 	switch args[0] {
-	case "call": // call NAME DAEMON ROUTE [KEY]: starts a plain request
+	case "call": // call NAME DAEMON ROUTE [KEY]: starts a plain request; the KEY none means no header for it, empty an empty key
 		sit.startCall(args[1], args[2], "/"+args[3]+"/x", args[4:])
 	case "stream": // stream NAME DAEMON ROUTE EVENTS [KEY]: starts a request for a stream of so many events
 		sit.startCall(args[1], args[2], "/"+args[3]+"/x?events="+args[4], args[5:])
--- a/lint/match.go
+++ b/lint/match.go
@@ -128,7 +128,7 @@
 			holders[key] = i
 			switch {
 			case key == "":
-				lst.warn(plc, "empty key: requests without a key count as those of organisation %q", org.Name)
+				lst.warn(plc, "empty key: it identifies no organisation, and requests without a key are refused")
 			case strings.TrimSpace(key) != key || strings.ContainsFunc(key, func(chr rune) bool { return chr < ' ' || chr == 0x7f }):
 				lst.warn(plc, "no request can have this key: it begins or ends with a space or contains a control character")
 			}
