Refuse requests of routes that a configuration allows nothing

What callers saw: a route with maxAttempts 0 was served with one attempt, one with timeoutMs 0 with the default deadline of the daemon, and one whose shares all had weight 0 at the last of them, so a version that closes a route in this way did not close it.

Fix: these fields are pointers in the document. 0 or less sets Route.Closed, and the route refuses its requests at once (503, not run); a missing value has its default as before. Route.Pick leaves out shares without a positive weight.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -49,6 +49,8 @@
 	Public bool
 	// Resumable streams may continue at another endpoint after the last event that was received.
 	Resumable bool
+	// Closed is why the configuration lets the route accept no request; empty if it accepts requests.
+	Closed string
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -186,18 +188,22 @@
 	return cat.byKey[key]
 }
 
-// Pick returns the service for a request by the weights of a route; draw is in [0, 1).
+// Pick returns the service for a request by the weights of a route; draw is in [0, 1). A share without a positive weight is never
+// picked; it returns "" if there are no others.
 func (rou *Route) Pick(draw float64) string {
 	total := 0.0
 	for _, shr := range rou.Shares {
-		total += shr.Weight
+		total += max(0, shr.Weight)
 	}
-	left := draw * total
+	left, last := draw*total, ""
 	for _, shr := range rou.Shares {
+		if shr.Weight <= 0 {
+			continue
+		}
 		if left < shr.Weight {
 			return shr.Service
 		}
-		left -= shr.Weight
+		left, last = left-shr.Weight, shr.Service
 	}
-	return rou.Shares[len(rou.Shares)-1].Service
+	return last
 }
--- a/gateway/scenario_start_test.go
+++ b/gateway/scenario_start_test.go
@@ -109,34 +109,53 @@
 // oddDepth is the depth of a deeply nested entry; the record stays below the 256 KB that the store takes.
 const oddDepth = 100_000
 
-// configuration returns a configuration with two services and a route for each kind of request.
-func configuration(version string, changes []string) []byte {
-	without := map[string]bool{}
-	moved := map[string]string{}
-	priorities := map[string]int{}
-	more, coldPerS, coldS := 0, 0, 0
-	for i := 0; i < len(changes); i++ {
-		switch changes[i] {
+// siteChanges are the differences of a configuration from the usual one.
+type siteChanges struct {
+	// without has the routes, the organisations or the field tenants that are left out.
+	without map[string]bool
+	// moved has the services of routes, priorities their priorities, and zero a field that is 0, by route; "limits" is the
+	// section of limits.
+	moved, zero map[string]string
+	priorities  map[string]int
+	// more is a number of further routes, coldPerS and coldS are values of both services; 0 means none.
+	more, coldPerS, coldS int
+	emptyKey              bool
+}
+
+// parseChanges reads the words of the command publish.
+func parseChanges(words []string) *siteChanges {
+	chg := &siteChanges{without: map[string]bool{}, moved: map[string]string{}, zero: map[string]string{}, priorities: map[string]int{}}
+	for i := 0; i < len(words); i++ {
+		switch words[i] {
 		case "routes":
 			i++
-			more, _ = strconv.Atoi(changes[i])
-		case "cold": // the services' coldPerS and coldS
-			coldPerS, _ = strconv.Atoi(changes[i+1])
-			coldS, _ = strconv.Atoi(changes[i+2])
+			chg.more, _ = strconv.Atoi(words[i])
+		case "cold":
+			chg.coldPerS, _ = strconv.Atoi(words[i+1])
+			chg.coldS, _ = strconv.Atoi(words[i+2])
+			i += 2
+		case "zero":
+			chg.zero[words[i+1]] = words[i+2]
 			i += 2
-		case "emptyKey": // organisation one has an empty key, too
-			without[changes[i]] = true
+		case "emptyKey":
+			chg.emptyKey = true
 		case "without":
 			i++
-			without[changes[i]] = true
+			chg.without[words[i]] = true
 		case "move":
-			moved[changes[i+1]] = changes[i+2]
+			chg.moved[words[i+1]] = words[i+2]
 			i += 2
 		case "priority":
-			priorities[changes[i+1]], _ = strconv.Atoi(changes[i+2])
+			chg.priorities[words[i+1]], _ = strconv.Atoi(words[i+2])
 			i += 2
 		}
 	}
+	return chg
+}
+
+// configuration returns a configuration with two services and a route for each kind of request.
+func configuration(version string, changes []string) []byte {
+	chg := parseChanges(changes)
 	var routes []map[string]any
 	for _, rou := range []map[string]any{
 		{"name": "once", "kind": "non_idempotent", "service": "desk", "maxAttempts": 1, "timeoutMs": 2000, "targetLatencyMs": 500},
@@ -148,17 +167,20 @@
 		{"name": "open", "kind": "idempotent", "service": "desk", "maxAttempts": 2, "timeoutMs": 2000, "targetLatencyMs": 500, "public": true},
 	} {
 		name := rou["name"].(string)
-		if without[name] {
+		if chg.without[name] {
 			continue
 		}
-		if service, ok := moved[name]; ok {
+		if service, ok := chg.moved[name]; ok {
 			rou["service"] = service
 		}
-		rou["priority"] = priorities[name]
+		rou["priority"] = chg.priorities[name]
+		if field, ok := chg.zero[name]; ok {
+			rou[field] = 0
+		}
 		rou["host"], rou["pathPrefix"] = "site.example", "/"+name+"/"
 		routes = append(routes, rou)
 	}
-	for number := range more {
+	for number := range chg.more {
 		routes = append(routes, map[string]any{
 			"name": fmt.Sprintf("more%d", number), "host": "site.example", "pathPrefix": fmt.Sprintf("/more%d/", number),
 			"kind": "idempotent", "service": "desk", "maxAttempts": 2, "timeoutMs": 2000, "targetLatencyMs": 500,
@@ -168,17 +190,21 @@
 		"slots": 8, "kvCapacityTokens": 30000, "moves": true, "backups": true, "stride": 4, "handleS": 5, "kvTokenBytes": 1000, "linkMbps": 10000,
 	}
 	services := []map[string]any{{"name": "desk", "protocol": "h1"}, {"name": "pool", "protocol": "h1", "engine": engine}}
-	if coldPerS > 0 {
+	if chg.coldPerS > 0 {
 		for _, svc := range services {
-			svc["coldPerS"], svc["coldS"] = coldPerS, coldS
+			svc["coldPerS"], svc["coldS"] = chg.coldPerS, chg.coldS
 		}
 	}
+	limits := map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
+	if field, ok := chg.zero["limits"]; ok {
+		limits[field] = 0
+	}
 	num, _ := strconv.Atoi(version)
 	doc := map[string]any{
-		"version": num, "routes": routes, "tenants": organisations(without), "services": services,
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"version": num, "routes": routes, "tenants": chg.organisations(), "services": services,
+		"limits": limits,
 	}
-	if without["tenants"] {
+	if chg.without["tenants"] {
 		delete(doc, "tenants")
 	}
 	data, _ := json.Marshal(doc)
@@ -186,13 +212,13 @@
 }
 
 // organisations returns the list of organisations of a configuration.
-func organisations(without map[string]bool) []map[string]any {
+func (chg *siteChanges) organisations() []map[string]any {
 	tenants := []map[string]any{}
 	for _, name := range []string{"one", "two"} {
-		if !without[name] {
+		if !chg.without[name] {
 			tenants = append(tenants, map[string]any{"name": name, "apiKeys": []string{"key-" + name}})
 		}
-		if without["emptyKey"] {
+		if chg.emptyKey {
 			tenants[0]["apiKeys"] = []string{"key-one", ""}
 		}
 	}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -22,6 +22,8 @@
 )
 
 const (
+	// closedRetry is the Retry-After of a route that the configuration has closed; only a new version opens it.
+	closedRetry = 5 * time.Second
 	// noCatalogRetry is the Retry-After of a daemon that has no configuration yet.
 	noCatalogRetry = 500 * time.Millisecond
 	// endpointsWait is how long a request waits, just after the daemon's start, until the first endpoints are read
@@ -253,6 +255,9 @@
 			rqs.rank = org.Priority
 		}
 	}
+	if rou.Closed != "" {
+		return notRun(closedRetry, "route %q accepts no request, version %d: %s", rou.Name, cat.Version, rou.Closed)
+	}
 	rqs.service = rou.Pick(rand.Float64())
 	rqs.deadline = now.Add(rqs.longest() - answerMargin)
 	if elapsed, draining := srv.drainElapsed(now); draining {
--- a/lint/match.go
+++ b/lint/match.go
@@ -88,10 +88,11 @@
 				lst.warn(plc, "share of service %q has weight 0 and gets no requests", shr.Service)
 			}
 		}
-		if !positive {
-			last := rou.Shares[len(rou.Shares)-1].Service
-			reached[last] = true
-			lst.warn(inRoute(i, FieldShares), "no share has a positive weight; every request goes to the last service, %q", last)
+		switch {
+		case !positive:
+			lst.warn(inRoute(i, FieldShares), "no share has a positive weight; the route refuses all requests")
+		case rou.Closed != "":
+			lst.warn(inRoute(i, FieldNone), "the route refuses all requests: %s", rou.Closed)
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(cat.Services)) {
