Let limits of 0 allow nothing

What callers saw: with a limit of 0 for heads or bodies, a gateway went on with the limit of the version before, or with its default, which is larger. A version without a limit kept the one of the version before at gateways that had read that, and had the default at others.

Fix: the document's limits are pointers, and catalog.Limits has Unstated for those that are missing; 0 or less allows nothing, and Unstated is the daemon's default, also after a version that stated one.

Tests: TestScenarios/zero_limit fails before ("until d1 once 413: timed out"); TestCheck/zeroLimits.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -111,7 +111,10 @@
 	ColdPerSecond float64
 }
 
-// Limits holds the size limits and time-outs for the connections of callers.
+// Unstated is a limit that the configuration does not state, so that the daemon's default applies. A limit of 0 allows nothing.
+const Unstated = -1
+
+// Limits holds the size limits and time-outs for the connections of callers; each may be Unstated.
 type Limits struct {
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
@@ -145,10 +148,11 @@
 	byKey  map[string]*Organisation
 }
 
-// NewCatalog indexes a configuration. It is Keyless if orgs is nil.
+// NewCatalog indexes a configuration. It is Keyless if orgs is nil, and its limits are Unstated.
 func NewCatalog(version int64, routes []Route, services []Service, orgs []Organisation) *Catalog {
 	cat := &Catalog{
 		Version: version, Routes: routes, Organisations: orgs, Keyless: orgs == nil,
+		Limits:   Limits{MaxHeaderBytes: Unstated, MaxBodyBytes: Unstated, HeaderTimeout: Unstated, IdleTimeout: Unstated},
 		Services: map[string]Service{}, byHost: map[string][]*Route{}, byKey: map[string]*Organisation{},
 	}
 	for _, svc := range services {
--- a/gateway/intake.go
+++ b/gateway/intake.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"papayacroft/catalog"
 	"papayacroft/control"
 	"papayacroft/intake"
 	"papayacroft/settings"
@@ -58,7 +59,22 @@
 		return
 	}
 	lim := snp.Catalog.Limits
-	dmn.gate.SetLimits(intake.Limits{HeadBytes: lim.MaxHeaderBytes, HeadTime: lim.HeaderTimeout, IdleTime: lim.IdleTimeout})
+	def := intake.DefaultLimits()
+	limits := intake.Limits{HeadBytes: limitOr(lim.MaxHeaderBytes, def.HeadBytes), HeadTime: limitOr(lim.HeaderTimeout, def.HeadTime), IdleTime: def.IdleTime}
+	// With 0, each connection ends with its first answer.
+	if lim.IdleTimeout > 0 {
+		limits.IdleTime = lim.IdleTimeout
+	}
+	dmn.gate.SetLimits(limits)
+}
+
+// limitOr returns a limit of the configuration, or the default if it states none. The gate has no limit of 0; with the least one,
+// no request keeps it either.
+func limitOr[T int | time.Duration](limit, unstated T) T {
+	if limit == catalog.Unstated {
+		return unstated
+	}
+	return max(1, limit)
 }
 
 // registerGate registers the metrics of a gate.
--- a/gateway/scenario_start_test.go
+++ b/gateway/scenario_start_test.go
@@ -111,7 +111,7 @@
 
 // siteChanges are the differences of a configuration from the usual one.
 type siteChanges struct {
-	// without has the routes, the organisations or the field tenants that are left out.
+	// without has the routes, the organisations and the fields tenants and limits that are left out.
 	without map[string]bool
 	// moved has the services of routes, priorities their priorities, and zero a field that is 0, by route; "limits" is the
 	// section of limits.
@@ -204,8 +204,10 @@
 		"version": num, "routes": routes, "tenants": chg.organisations(), "services": services,
 		"limits": limits,
 	}
-	if chg.without["tenants"] {
-		delete(doc, "tenants")
+	for _, field := range []string{"tenants", "limits"} {
+		if chg.without[field] {
+			delete(doc, field)
+		}
 	}
 	data, _ := json.Marshal(doc)
 	return data
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -240,6 +240,9 @@
 		// After a start, the configuration and the endpoints are read concurrently, so endpoints should follow shortly.
 		srv.awaitEndpoints(rqs.http.Context())
 	}
+	if cat.Limits.IdleTimeout == 0 {
+		wri.Header().Set("Connection", "close")
+	}
 	rou := cat.Match(rqs.http.Host, rqs.http.URL.EscapedPath())
 	if rou == nil {
 		return invalid(http.StatusNotFound, "no route matches host %q and the path, version %d", rqs.http.Host, cat.Version)
@@ -314,7 +317,7 @@
 	if rqs.http.Body == nil || rqs.http.Body == http.NoBody {
 		return nil
 	}
-	if limit <= 0 {
+	if limit == catalog.Unstated {
 		limit = defaultMaxBodyBytes
 	}
 	ctl := http.NewResponseController(wri)
--- a/intake/gate.go
+++ b/intake/gate.go
@@ -81,12 +81,16 @@
 		logged: map[string]time.Time{}, skipped: map[string]int{},
 	}
 	gat.budget.PeerReserve = memory / peerReserveShare
-	gat.limits.Store(&Limits{
-		HeadBytes: defaultHeadBytes, HeadTime: defaultHeadTime, IdleTime: defaultIdleTime, BodyStall: DefaultStall, ReaderStall: DefaultStall,
-	})
+	limits := DefaultLimits()
+	gat.limits.Store(&limits)
 	return gat
 }
 
+// DefaultLimits returns the limits of a new gate.
+func DefaultLimits() Limits {
+	return Limits{HeadBytes: defaultHeadBytes, HeadTime: defaultHeadTime, IdleTime: defaultIdleTime, BodyStall: DefaultStall, ReaderStall: DefaultStall}
+}
+
 // SetMemory changes the memory budget.
 func (gat *Gate) SetMemory(bytes int64) {
 	gat.mutex.Lock()
--- a/lint/compare.go
+++ b/lint/compare.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"papayacroft/catalog"
 )
@@ -16,16 +17,24 @@
 	lst.compareServices(before, after)
 	lst.compareOrganisations(before, after)
 	old, now := before.Limits, after.Limits
-	lst.value(inSection(SectionLimits, FieldMaxHeaderBytes), "limit for request heads", old.MaxHeaderBytes, now.MaxHeaderBytes)
-	lst.value(inSection(SectionLimits, FieldMaxBodyBytes), "limit for request bodies", old.MaxBodyBytes, now.MaxBodyBytes)
-	lst.value(inSection(SectionLimits, FieldHeaderTimeout), "timeout for request heads", old.HeaderTimeout, now.HeaderTimeout)
-	lst.value(inSection(SectionLimits, FieldIdleTimeout), "timeout of idle connections", old.IdleTimeout, now.IdleTimeout)
+	lst.value(inSection(SectionLimits, FieldMaxHeaderBytes), "limit for request heads", limit(old.MaxHeaderBytes), limit(now.MaxHeaderBytes))
+	lst.value(inSection(SectionLimits, FieldMaxBodyBytes), "limit for request bodies", limit(old.MaxBodyBytes), limit(now.MaxBodyBytes))
+	lst.value(inSection(SectionLimits, FieldHeaderTimeout), "timeout for request heads", limit(old.HeaderTimeout), limit(now.HeaderTimeout))
+	lst.value(inSection(SectionLimits, FieldIdleTimeout), "timeout of idle connections", limit(old.IdleTimeout), limit(now.IdleTimeout))
 	if after.Version < before.Version || after.Version == before.Version && len(lst) > 0 {
 		lst.warn(inSection(SectionVersion, FieldNone), "version %d is not above version %d in force; daemons ignore it", after.Version, before.Version)
 	}
 	return lst
 }
 
+// limit returns a limit as it is printed.
+func limit[T int | int64 | time.Duration](value T) string {
+	if value == catalog.Unstated {
+		return "the default"
+	}
+	return fmt.Sprint(value)
+}
+
 // value adds a difference if two values differ.
 func (lst *list) value(plc Place, what string, before, after any) {
 	if before != after {
--- a/lint/limits.go
+++ b/lint/limits.go
@@ -11,6 +11,7 @@
 
 // checkLimits finds limits that contradict each other.
 func (lst *list) checkLimits(cat *catalog.Catalog, endpoints map[string]int) {
+	lst.checkZeroLimits(&cat.Limits)
 	for i := range cat.Routes {
 		lst.checkRouteLimits(i, &cat.Routes[i], endpoints)
 	}
@@ -26,6 +27,24 @@
 	}
 }
 
+// checkZeroLimits finds limits that no request can keep.
+func (lst *list) checkZeroLimits(lim *catalog.Limits) {
+	for _, one := range []struct {
+		field  Field
+		zero   bool
+		effect string
+	}{
+		{FieldMaxHeaderBytes, lim.MaxHeaderBytes == 0, "all requests are refused"},
+		{FieldMaxBodyBytes, lim.MaxBodyBytes == 0, "all requests with a body are refused"},
+		{FieldHeaderTimeout, lim.HeaderTimeout == 0, "all requests whose head does not arrive at once are refused"},
+		{FieldIdleTimeout, lim.IdleTimeout == 0, "each connection ends with its first answer"},
+	} {
+		if one.zero {
+			lst.warn(inSection(SectionLimits, one.field), "limit is 0: %s", one.effect)
+		}
+	}
+}
+
 func (lst *list) checkRouteLimits(index int, rou *catalog.Route, endpoints map[string]int) {
 	// Without a timeout, the default deadline of the daemons applies.
 	if rou.Timeout > 0 && rou.Target > rou.Timeout {
