Tell the peers the era of what was read from the store

Cause: one daemon reads a topic for all. After the return it went on at lower offsets than the others had read, and they took each of its parts for known. The parts also put off their own reads. The whole reading of the first daemon was not shared.

Fix: parts carry the era of their offsets. Parts of an earlier era are ignored; on one of a later era the receiver reads the topic whole, unless the part is the whole topic, which the daemon that finds the new era shares. Removals are delayed as after an outage, and an entry in a list does not lift the mark of a leaving endpoint, since the copy may have entries that were removed since.

--- a/catalog/fleet.go
+++ b/catalog/fleet.go
@@ -111,9 +111,13 @@
 
 // Put applies an entry of an endpoint; it ignores late ones, as FleetView.IsLate defines them.
 func (flt *Fleet) Put(now time.Time, edp Endpoint) {
-	if (FleetView{Endpoints: flt.Endpoints, Leaving: flt.Leaving}).IsLate(&edp) {
+	if (FleetView{Endpoints: flt.Endpoints, Leaving: flt.Leaving}).IsLate(&edp, false) {
 		return
 	}
+	flt.put(now, edp)
+}
+
+func (flt *Fleet) put(now time.Time, edp Endpoint) {
 	old, known := flt.Endpoints[edp.ID]
 	delete(flt.pendingRemovals, edp.ID)
 	edp.ReadAt = now
@@ -152,7 +156,9 @@
 	listed := map[string]bool{}
 	for _, edp := range endpoints {
 		listed[edp.ID] = true
-		flt.Put(now, edp)
+		if !(FleetView{Endpoints: flt.Endpoints, Leaving: flt.Leaving}).IsLate(&edp, true) {
+			flt.put(now, edp)
+		}
 	}
 	for id := range flt.Endpoints {
 		if !listed[id] {
@@ -248,13 +254,17 @@
 
 // IsLate reports whether an entry was written before what is known of the endpoint: before its present entry, or before the
 // entry that said that it drains or the last one before its removal. A write that was delayed on its way to the store is
-// the newest one there all the same.
-func (vew FleetView) IsLate(edp *Endpoint) bool {
+// the newest one there all the same. Listed is true for an entry of a list of all: there it may be one that a copy of the store has
+// kept although it was removed since, so it can't show that the endpoint does not leave.
+func (vew FleetView) IsLate(edp *Endpoint, listed bool) bool {
 	if old, known := vew.Endpoints[edp.ID]; known && edp.IsOlderThan(&old) {
 		return true
 	}
 	mrk, leaving := vew.Leaving[edp.ID]
-	return leaving && edp.State == StateReady && !mrk.IsCancelledBy(edp)
+	if !leaving || edp.State != StateReady {
+		return false
+	}
+	return listed && edp.StartedAt <= mrk.StartedAt || !mrk.IsCancelledBy(edp)
 }
 
 // HasNeighbour reports whether another endpoint of the same service and failure domain accepts new requests.
--- a/control/control.go
+++ b/control/control.go
@@ -34,6 +34,8 @@
 	PeerChanges int64
 	// StoreReadAt is when this daemon, or a peer that shared its read, last read the store.
 	StoreReadAt time.Time
+	// StoreEra is the store's era, 0 if it states none; StoreRestores is the number of times that it has changed since the start.
+	StoreEra, StoreRestores int64
 	// TickedAt is when the snapshot was made, and ResumedAt when the process went on after a pause; see IsStale.
 	TickedAt, ResumedAt time.Time
 }
@@ -69,6 +71,9 @@
 	peerChanges int64
 	storeReadAt time.Time
 	storeLost   bool
+	storeEra    int64
+	// storeRestores is the number of times that storeEra has changed since the start.
+	storeRestores int64
 	// tickedAt is the time of the last periodic work, and resumedAt the end of the last pause.
 	tickedAt, resumedAt time.Time
 	// sources is who reported that an endpoint leaves, by id, until that is logged; without an entry it was the store.
@@ -139,6 +144,7 @@
 func (ctl *Control) publish() {
 	old := ctl.snapshot.Load()
 	snp := &Snapshot{Catalog: ctl.catalog, Fleet: ctl.fleet.View(), Peers: ctl.peers, PeerChanges: ctl.peerChanges, StoreReadAt: ctl.storeReadAt,
+		StoreEra: ctl.storeEra, StoreRestores: ctl.storeRestores,
 		TickedAt: ctl.tickedAt, ResumedAt: ctl.resumedAt}
 	ctl.snapshot.Store(snp)
 	if snp.Fleet.Changes != old.Fleet.Changes {
@@ -258,6 +264,27 @@
 	ctl.storeReadAt = now
 }
 
+// StoreEra is the input for the era that the store stated for one of its topics, if it was another one before.
+type StoreEra struct {
+	Era int64
+}
+
+// Apply records a change of the era, which happens when the store returns from a copy. Entries that are missing in the copy are
+// written again, so their removal is delayed as after an outage.
+func (era StoreEra) Apply(now time.Time, ctl *Control) {
+	if ctl.storeEra != 0 {
+		ctl.fleet.RecordOutage(now)
+	}
+	if era.Era == ctl.storeEra {
+		return
+	}
+	if ctl.storeEra != 0 {
+		ctl.storeRestores++
+		ctl.Logger.WithFields(logrus.Fields{"era": era.Era, "before": ctl.storeEra}).Warn("store returned from a copy; its topics are read whole")
+	}
+	ctl.storeEra = era.Era
+}
+
 // Leaving is the input for endpoints that are going to stop, as they reported themselves or as a peer reported.
 type Leaving struct {
 	// BornAt is the start time of each endpoint by id; it distinguishes an endpoint from an earlier one with the same id.
--- a/exchange/feed.go
+++ b/exchange/feed.go
@@ -77,10 +77,23 @@
 	Topic string `json:"topic"`
 	// Reader is the name of the daemon that read the part.
 	Reader string `json:"reader"`
+	// Era is the era of the offsets; 0 if the store stated none, or if the reader is of an earlier release.
+	Era int64 `json:"era,omitempty"`
 	// From and Next are the offsets at which the range begins and after which reading continues.
-	From    int64    `json:"from"`
-	Next    int64    `json:"next"`
+	From int64 `json:"from"`
+	Next int64 `json:"next"`
+	// Whole is true if Records are the newest ones of all keys, whatever From is.
+	Whole   bool     `json:"whole,omitempty"`
 	Records []Record `json:"records,omitempty"`
+	// Packed has the records of a whole topic, compressed together, in place of Records.
+	Packed []byte `json:"packed,omitempty"`
+}
+
+// PartCounts counts the parts that peers shared, by what became of them.
+type PartCounts struct {
+	// Applied are new records, Known those that were read already, Ahead those applied although the topic has to be read
+	// whole, and Outdated those of an earlier era, which are ignored.
+	Applied, Known, Ahead, Outdated atomic.Int64
 }
 
 // IsTrimmed reports whether a read failed because the store had already deleted records from its offset on.
@@ -127,6 +140,11 @@
 	started bool
 	// behind is true if a part was missed, so that the next reading is only for this daemon.
 	behind bool
+	// restored is true if the store has another era than next, so that the topic has to be read whole. telling is true if this
+	// daemon found that out itself, so that it shares what it reads.
+	restored, telling bool
+	// applied is the position after the records that were last passed to Apply.
+	applied Position
 	// readAt is when this daemon last read the topic itself.
 	readAt time.Time
 	// shared is the offset at which the next part that this daemon shares begins; sharedAt is when it last shared one.
@@ -139,6 +157,7 @@
 	parts chan *TopicPart
 	// pending is the number of parts and reads that are not applied yet.
 	pending atomic.Int32
+	counts  PartCounts
 }
 
 // NewFeed returns a feed that needs its exported fields set before Run.
@@ -156,10 +175,14 @@
 	}
 }
 
-// Next returns the offset after the records that were read; it is for Apply, which runs in the feed's goroutine, and for whole
-// topics.
-func (fed *Feed) Next() int64 {
-	return fed.next.Offset
+// Applied returns the position after the records that are being applied; it is for Apply, which runs in the feed's goroutine.
+func (fed *Feed) Applied() Position {
+	return fed.applied
+}
+
+// Counts returns the counts of the parts that peers shared.
+func (fed *Feed) Counts() *PartCounts {
+	return &fed.counts
 }
 
 // Busy reports whether parts or reads wait to be applied.
@@ -237,29 +260,54 @@
 		return
 	}
 	fed.logRead(next, len(records))
+	fed.noteEra(ctx, next.Era)
 	fed.pause, fed.next, fed.due = minFeedPause, next, now.Add(fed.Interval)
 	fed.Control.Send(ctx, control.StoreRead{})
 	if whole || len(records) > 0 {
 		fed.pending.Add(1)
-		records = fed.Apply(ctx, records, whole)
+		records = fed.apply(ctx, records, whole, next)
 		fed.pending.Add(-1)
 	}
 	switch {
 	case whole:
-		fed.shared, fed.settling = next.Offset, !fed.started
-		if fed.settling {
-			fed.started, fed.due = true, now.Add(settleTime)
-		}
+		fed.endWhole(now, records)
 	case behind:
 		fed.shared, fed.due = next.Offset, now.Add(fed.silence()+fed.succession())
 	default:
 		fed.readAt = now
 		if takesOver || len(records) > 0 || now.Sub(fed.sharedAt) >= emptyInterval {
-			fed.share(now, next.Offset, records)
+			fed.share(now, records, false)
 		}
 	}
 }
 
+// endWhole decides what follows a reading of the whole topic. After a change of the store's era, the peers have to read it whole,
+// too; the daemon that finds that out first reads for all.
+func (fed *Feed) endWhole(now time.Time, records []Record) {
+	telling := fed.telling && fed.next.Era != 0
+	fed.shared, fed.settling = fed.next.Offset, !fed.started
+	fed.restored, fed.telling = false, false
+	switch {
+	case fed.settling:
+		fed.started, fed.due = true, now.Add(settleTime)
+	case telling:
+		fed.readAt = now
+		fed.share(now, records, true)
+	}
+}
+
+// noteEra reports a change of the store's era.
+func (fed *Feed) noteEra(ctx context.Context, era int64) {
+	if era != fed.next.Era {
+		fed.Control.Send(ctx, control.StoreEra{Era: era})
+	}
+}
+
+func (fed *Feed) apply(ctx context.Context, records []Record, whole bool, next Position) []Record {
+	fed.applied = next
+	return fed.Apply(ctx, records, whole)
+}
+
 // logRead logs a whole reading, and the first one that succeeds after failed ones.
 func (fed *Feed) logRead(next Position, records int) {
 	whole := fed.next.Offset == unread
@@ -275,6 +323,10 @@
 	if IsTrimmed(err) || IsEraChanged(err) {
 		fed.Logger.WithError(err).WithFields(logrus.Fields{"topic": fed.Topic, "from": fed.next.Offset}).Info("records can't be read from this offset on; reading the whole topic")
 		fed.next.Offset, fed.due = unread, now
+		if IsEraChanged(err) {
+			// A daemon that precedes this one in the succession may read the topic for all meanwhile.
+			fed.restored, fed.telling, fed.due = true, true, now.Add(fed.succession())
+		}
 		return
 	}
 	fed.Control.Send(ctx, control.StoreRead{Err: err})
@@ -296,14 +348,14 @@
 }
 
 // share sends what was read to the peers.
-func (fed *Feed) share(now time.Time, next int64, records []Record) {
+func (fed *Feed) share(now time.Time, records []Record, whole bool) {
 	if !fed.Numbered {
 		for i := range records {
 			records[i].Offset = 0
 		}
 	}
-	fed.Share(&TopicPart{Topic: fed.Topic, Reader: fed.Name, From: fed.shared, Next: next, Records: records})
-	fed.shared, fed.sharedAt = next, now
+	fed.Share(&TopicPart{Topic: fed.Topic, Reader: fed.Name, Era: fed.next.Era, From: fed.shared, Next: fed.next.Offset, Whole: whole, Records: records})
+	fed.shared, fed.sharedAt = fed.next.Offset, now
 }
 
 // applyPart applies a part that a peer read and postpones this daemon's own read. If parts before it are missing, it
@@ -311,29 +363,20 @@
 func (fed *Feed) applyPart(ctx context.Context, part *TopicPart) {
 	defer fed.pending.Add(-1)
 	now := fed.Now()
-	if fed.next.Offset == unread {
+	switch {
+	case !fed.started:
+		return
+	case part.Era != 0 && part.Era < fed.next.Era:
+		fed.counts.Outdated.Add(1)
 		return
 	}
-	var records []Record
-	if part.Next > fed.next.Offset {
-		var err error
-		if records, err = part.each((*Record).unpack); err != nil {
-			fed.Logger.WithError(err).WithField("peer", part.Reader).Warn("topic part from a peer could not be unpacked; ignored")
-			return
-		}
-	}
-	if part.From > fed.next.Offset {
-		// Parts before this one are missing. Its records are the newest of their keys all the same, so they are applied
-		// even if the store can't be read to close the gap.
-		fed.Apply(ctx, records, false)
-		if fed.pause == minFeedPause {
-			fed.due, fed.settling, fed.behind = now.Add(gapPause), false, !fed.reads(now)
-		}
+	records, err := part.unpack()
+	if err != nil {
+		fed.Logger.WithError(err).WithField("peer", part.Reader).Warn("topic part from a peer could not be unpacked; ignored")
 		return
 	}
-	if part.Next > fed.next.Offset {
-		fed.Apply(ctx, records, false)
-		fed.next.Offset, fed.shared = part.Next, part.Next
+	if !fed.applyRecords(ctx, now, part, records) {
+		return
 	}
 	fed.pause = minFeedPause
 	fed.Control.Send(ctx, control.StoreRead{})
@@ -343,6 +386,56 @@
 	}
 }
 
+// applyRecords applies the records of a part; it returns false if this daemon has to read the topic all the same.
+func (fed *Feed) applyRecords(ctx context.Context, now time.Time, part *TopicPart, records []Record) bool {
+	next := Position{Era: max(part.Era, fed.next.Era), Offset: part.Next}
+	isNewEra := part.Era > fed.next.Era && (part.Whole || fed.next.Era != 0)
+	switch {
+	case part.Whole && (isNewEra || fed.next.Offset != unread && part.Next > fed.next.Offset):
+		fed.counts.Applied.Add(1)
+		fed.noteEra(ctx, part.Era)
+		fed.next, fed.shared, fed.restored, fed.behind = next, part.Next, false, false
+		fed.apply(ctx, records, true, next)
+	case isNewEra, fed.next.Offset == unread:
+		fed.applyAhead(ctx, now, part, records)
+		return false
+	case part.From > fed.next.Offset:
+		// Parts before this one are missing. Its records are the newest of their keys all the same, so they are applied
+		// even if the store can't be read to close the gap.
+		fed.counts.Applied.Add(1)
+		fed.apply(ctx, records, false, next)
+		if fed.pause == minFeedPause {
+			fed.due, fed.settling, fed.behind = now.Add(gapPause), false, !fed.reads(now)
+		}
+		return false
+	case part.Next > fed.next.Offset:
+		fed.counts.Applied.Add(1)
+		fed.apply(ctx, records, false, next)
+		fed.next, fed.shared = next, part.Next
+	default:
+		fed.counts.Known.Add(1)
+	}
+	return true
+}
+
+// applyAhead applies a part although this daemon has to read the topic whole, since it may be unable to read the store. The part
+// may be the first sign of the store's new era.
+func (fed *Feed) applyAhead(ctx context.Context, now time.Time, part *TopicPart, records []Record) {
+	if part.Whole {
+		return
+	}
+	fed.counts.Ahead.Add(1)
+	fed.noteEra(ctx, max(part.Era, fed.next.Era))
+	fed.apply(ctx, records, false, Position{Era: max(part.Era, fed.next.Era), Offset: part.Next})
+	fed.telling = false
+	if fed.next.Offset != unread {
+		fed.next.Offset, fed.restored, fed.behind = unread, true, false
+		if fed.pause == minFeedPause {
+			fed.due, fed.settling = now.Add(gapPause+fed.succession()), false
+		}
+	}
+}
+
 // reads reports whether this daemon reads the topic for all.
 func (fed *Feed) reads(now time.Time) bool {
 	return now.Sub(fed.readAt) < fed.silence()
--- a/exchange/fleet_test.go
+++ b/exchange/fleet_test.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,6 +59,11 @@
 	Trim string
 	// Cold is the number of endpoints, the first ones, whose entries say from now on that they are cold.
 	Cold int
+	// Copy makes the store copy what it holds, and Restore is the time for which it is away before it returns from the copy;
+	// Silent means that it gives no answer meanwhile. The operator then writes its newest version again, and, after Pause, the one
+	// to Publish. Start starts the daemons that are Late.
+	Copy, Silent, Start bool
+	Restore, Pause      time.Duration
 }
 
 type fleetCase struct {
@@ -69,6 +75,8 @@
 	Until              time.Duration
 	// ColdPerS is the rate of requests that the service's cold endpoints sustain; 0 if it states none.
 	ColdPerS float64
+	// Late is the number of daemons, the last ones, that start with the step Start.
+	Late int
 	// MeasureFrom is when the counting of messages and connections begins.
 	MeasureFrom time.Duration
 	Steps       []fleetStep
@@ -88,6 +96,8 @@
 	CallsPerDaemon float64
 	// Connections requires that a daemon keeps connections only to the users of its engines, its neighbours and relays.
 	Connections bool
+	// Registered requires that the store has the entry of each daemon at the end.
+	Registered bool
 }
 
 // fleetResult is what was measured at one size.
@@ -97,6 +107,8 @@
 	connections, calls float64
 	inForce, known     time.Duration
 	evacuated          time.Duration
+	// unregistered is the number of daemons whose entries the store lacks.
+	unregistered int
 }
 
 // connectionBound returns the mean number of connections if each daemon had one in each direction to the other users of
@@ -138,20 +150,7 @@
 
 func (bnd *fleetBounds) check(t *testing.T, results []fleetResult) {
 	for _, res := range results {
-		t.Logf("%d daemons: %.1f messages/s, %.0f B/s, %.1f connections a daemon, %.0f calls to the store, in force after %v, endpoints known after %v, evacuations after %v",
-			res.daemons, res.messages, res.bytes, res.connections, res.calls, res.inForce, res.known, res.evacuated)
-		if bnd.InForce > 0 && res.inForce > bnd.InForce {
-			t.Errorf("%d daemons: got a version in force after %v, want %v at most", res.daemons, res.inForce, bnd.InForce)
-		}
-		if bnd.Known > 0 && res.known > bnd.Known {
-			t.Errorf("%d daemons: got endpoints known after %v, want %v at most", res.daemons, res.known, bnd.Known)
-		}
-		if bnd.Evacuated > 0 && res.evacuated > bnd.Evacuated {
-			t.Errorf("%d daemons: got an evacuation known after %v, want %v at most", res.daemons, res.evacuated, bnd.Evacuated)
-		}
-		if most := res.connectionBound(); bnd.Connections && res.connections > most {
-			t.Errorf("%d daemons: got %.1f connections a daemon, want %.1f at most", res.daemons, res.connections, most)
-		}
+		bnd.checkSize(t, &res)
 	}
 	first, last := results[0], results[len(results)-1]
 	if got := max(last.messages/first.messages, last.bytes/first.bytes); bnd.Growth > 0 && got > bnd.Growth {
@@ -164,6 +163,27 @@
 	}
 }
 
+// checkSize checks the bounds of each size by itself.
+func (bnd *fleetBounds) checkSize(t *testing.T, res *fleetResult) {
+	t.Logf("%d daemons: %.1f messages/s, %.0f B/s, %.1f connections a daemon, %.0f calls to the store, in force after %v, endpoints known after %v, evacuations after %v",
+		res.daemons, res.messages, res.bytes, res.connections, res.calls, res.inForce, res.known, res.evacuated)
+	if bnd.InForce > 0 && res.inForce > bnd.InForce {
+		t.Errorf("%d daemons: got a version in force after %v, want %v at most", res.daemons, res.inForce, bnd.InForce)
+	}
+	if bnd.Known > 0 && res.known > bnd.Known {
+		t.Errorf("%d daemons: got endpoints known after %v, want %v at most", res.daemons, res.known, bnd.Known)
+	}
+	if bnd.Evacuated > 0 && res.evacuated > bnd.Evacuated {
+		t.Errorf("%d daemons: got an evacuation known after %v, want %v at most", res.daemons, res.evacuated, bnd.Evacuated)
+	}
+	if bnd.Registered && res.unregistered > 0 {
+		t.Errorf("%d daemons: got %d without an entry in the store, want none", res.daemons, res.unregistered)
+	}
+	if most := res.connectionBound(); bnd.Connections && res.connections > most {
+		t.Errorf("%d daemons: got %.1f connections a daemon, want %.1f at most", res.daemons, res.connections, most)
+	}
+}
+
 // fleet is one play of a case.
 type fleet struct {
 	t       *testing.T
@@ -178,6 +198,11 @@
 	// coldUntil is the time until which the entries of endpoints say that they are cold, by id.
 	coldUntil map[string]time.Time
 	result    fleetResult
+	// group has the goroutines of the case.
+	group *sync.WaitGroup
+	// copied is what the store held at the last step Copy, and published the newest version.
+	copied    map[string]*simTopic
+	published int64
 	// waits is the number of conditions that await still waits for.
 	waits int
 }
@@ -186,6 +211,7 @@
 type fleetDaemon struct {
 	*simNode
 	*exchange.Exchange
+	started atomic.Bool
 	version int64
 	stop    context.CancelFunc
 }
@@ -212,9 +238,8 @@
 	flt.add(int(flt.cse.EndpointsPerDaemon * float64(len(flt.daemons))))
 	grp.Go(flt.beat)
 	began := time.Now()
-	for i, dmn := range flt.daemons {
-		flt.start(&grp, dmn, fmt.Sprintf("front-%d", i))
-	}
+	flt.group = &grp
+	flt.startAll(0, len(flt.daemons)-flt.cse.Late)
 	for _, stp := range flt.cse.Steps {
 		time.Sleep(time.Until(began.Add(stp.At)))
 		grp.Go(func() { flt.apply(&stp) })
@@ -232,6 +257,7 @@
 		flt.result.calls += float64(dmn.calls.Load())
 	}
 	flt.result.endpoints = len(flt.endpoints)
+	flt.result.unregistered = flt.countUnregistered()
 	for _, dmn := range flt.daemons {
 		dmn.kill()
 	}
@@ -255,6 +281,7 @@
 	exc.Requests, exc.Parse, exc.Client.Dial = idleRequests{}, platform.ParseCatalog, flt.network.dialer(dmn.simNode)
 	ctl.OnTick = exc.ShareEngines
 	dmn.Exchange, dmn.stop = exc, cancel
+	dmn.started.Store(true)
 	fol := platform.NewFollower(&simClient{store: flt.store, node: dmn.simNode})
 	fol.Control, fol.Exchange, fol.Logger = ctl, exc, logger
 	fol.Name, fol.PeerAddress, fol.FailureDomain = name, dmn.address, "a"
@@ -318,7 +345,7 @@
 
 func (flt *fleet) apply(stp *fleetStep) {
 	switch {
-	case stp.Publish > 0:
+	case stp.Publish > 0 && stp.Restore == 0:
 		flt.publish(stp.Publish)
 		flt.awaitVersion(stp.Publish)
 	case stp.Kill != "":
@@ -346,6 +373,8 @@
 		}
 	case stp.isZone():
 		flt.applyZone(stp)
+	case stp.isRestore():
+		flt.applyRestore(stp)
 	case stp.Add > 0:
 		flt.awaitListed(flt.add(stp.Add), true)
 	case stp.Remove > 0:
@@ -357,6 +386,9 @@
 func (flt *fleet) chosen(which string) []*fleetDaemon {
 	var all []*fleetDaemon
 	for i, dmn := range flt.daemons {
+		if !dmn.isStarted() {
+			continue
+		}
 		others := dmn.Rank(topicOperator) > 0 && dmn.Rank(topicEndpoints) > 0
 		match := map[string]bool{
 			"third": i%3 == 0, "reader": dmn.Rank(topicEndpoints) == 0, "relay": dmn.Rank(topicOperator) == 0, "successors": dmn.Rank(topicOperator) < 4,
@@ -370,6 +402,9 @@
 }
 
 func (flt *fleet) publish(version int64) {
+	flt.mutex.Lock()
+	flt.published = version
+	flt.mutex.Unlock()
 	flt.store.put(topicOperator, "config", fmt.Appendf(nil,
 		`{"version":%d,"services":[{"name":"pool","coldPerS":%g,"engine":{"slots":24,"kvCapacityTokens":33661,"moves":true}}]}`, version, flt.cse.ColdPerS))
 }
@@ -388,7 +423,7 @@
 	flt.addWaits(1)
 	defer flt.addWaits(-1)
 	for _, dmn := range flt.daemons {
-		for flt.ctx.Err() == nil && dmn.isServing() && !holds(dmn) {
+		for flt.ctx.Err() == nil && dmn.isServing() && dmn.isStarted() && !holds(dmn) {
 			time.Sleep(checkPoll)
 		}
 	}
--- a/exchange/notices.go
+++ b/exchange/notices.go
@@ -112,10 +112,10 @@
 
 // sendTopic broadcasts a topic part; large records are compressed once, by the daemon that read them.
 func (exc *Exchange) sendTopic(ctx context.Context, part *TopicPart) {
-	records, err := part.each((*Record).pack)
+	packed, err := part.pack()
 	if err != nil {
 		exc.Logger.WithError(err).WithField("topic", part.Topic).Warn("topic part could not be compressed; not sent to peers")
 		return
 	}
-	exc.broadcast(ctx, topicMethod, &TopicPart{Topic: part.Topic, Reader: part.Reader, From: part.From, Next: part.Next, Records: records})
+	exc.broadcast(ctx, topicMethod, packed)
 }
--- a/exchange/pack.go
+++ b/exchange/pack.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/flate"
+	"encoding/json"
 	"io"
 	"slices"
 
@@ -43,6 +44,40 @@
 	return nil
 }
 
+// pack returns a copy of the part for the transfer between daemons. The records of a whole topic are many small ones that are
+// alike, so they are compressed together.
+func (prt *TopicPart) pack() (*TopicPart, error) {
+	packed := *prt
+	var err error
+	if !prt.Whole {
+		packed.Records, err = prt.each((*Record).pack)
+		return &packed, trace.Wrap(err)
+	}
+	data, err := json.Marshal(prt.Records)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	packed.Records = nil
+	packed.Packed, err = deflate(data)
+	return &packed, trace.Wrap(err)
+}
+
+// unpack returns the part's records, decompressed.
+func (prt *TopicPart) unpack() ([]Record, error) {
+	if len(prt.Packed) == 0 {
+		return prt.each((*Record).unpack)
+	}
+	data, err := inflate(prt.Packed)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	var records []Record
+	if err := json.Unmarshal(data, &records); err != nil {
+		return nil, trace.BadParameter("records are not valid: %v", err)
+	}
+	return records, nil
+}
+
 // each returns a copy of the part's records to which change was applied; the part itself, which may be forwarded, is
 // not modified.
 func (prt *TopicPart) each(change func(rec *Record) error) ([]Record, error) {
--- a/exchange/simnet_test.go
+++ b/exchange/simnet_test.go
@@ -261,6 +261,23 @@
 	topics map[string]*simTopic
 	// era rises when the store returns from a copy.
 	era int64
+	// silent is true while the store executes no call and answers none.
+	silent bool
+}
+
+// silentTime is the time after which a daemon gives up a call that is not answered.
+const silentTime = 1800 * time.Millisecond
+
+func (sto *simStore) setSilent(silent bool) {
+	sto.mutex.Lock()
+	defer sto.mutex.Unlock()
+	sto.silent = silent
+}
+
+func (sto *simStore) isSilent() bool {
+	sto.mutex.Lock()
+	defer sto.mutex.Unlock()
+	return sto.silent
 }
 
 type simTopic struct {
@@ -302,6 +319,33 @@
 	return slices.Clone(top.records[min(from, int64(len(top.records))):]), top.grown, sto.era
 }
 
+// copyTopics returns a copy of what the store holds.
+func (sto *simStore) copyTopics() map[string]*simTopic {
+	sto.mutex.Lock()
+	defer sto.mutex.Unlock()
+	return cloneTopics(sto.topics)
+}
+
+// restore makes the store hold what a copy holds, and raises its era.
+func (sto *simStore) restore(copied map[string]*simTopic) {
+	sto.mutex.Lock()
+	defer sto.mutex.Unlock()
+	old := sto.topics
+	sto.topics = cloneTopics(copied)
+	sto.era++
+	for _, top := range old {
+		close(top.grown)
+	}
+}
+
+func cloneTopics(topics map[string]*simTopic) map[string]*simTopic {
+	cloned := map[string]*simTopic{}
+	for name, top := range topics {
+		cloned[name] = &simTopic{records: slices.Clone(top.records), first: top.first, grown: make(chan struct{})}
+	}
+	return cloned
+}
+
 // isMissing reports whether records from an offset on were dropped, or the log ends before it.
 func (sto *simStore) isMissing(name string, from int64) bool {
 	sto.mutex.Lock()
@@ -319,6 +363,10 @@
 	clt.node.awaitThaw()
 	clt.node.calls.Add(1)
 	time.Sleep(storeLatency)
+	if clt.store.isSilent() {
+		time.Sleep(silentTime)
+		return trace.ConnectionProblem(nil, "store: no answer")
+	}
 	if clt.node.isTurnedAway() {
 		return trace.ConnectionProblem(nil, "store: 503")
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -9,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"papayacroft/control"
+	"papayacroft/exchange"
 )
 
 const metricsNamespace = "papayacroft_gateway"
@@ -102,6 +104,9 @@
 	gauge("store_age_seconds", "Time since any daemon's last read of the store that this one knows of.", func(snp *control.Snapshot) float64 {
 		return time.Since(snp.StoreReadAt).Seconds()
 	})
+	gauge("store_era", "Era that the store states, 0 if it states none.", func(snp *control.Snapshot) float64 { return float64(snp.StoreEra) })
+	gauge("store_restores_total", "Changes of the store's era since the start.", func(snp *control.Snapshot) float64 { return float64(snp.StoreRestores) })
+	met.registerTopics(dmn.Exchange.Feeds)
 	gauge("endpoints", "Endpoints known.", func(snp *control.Snapshot) float64 { return float64(len(snp.Fleet.Endpoints)) })
 	gauge("endpoints_leaving", "Endpoints known to leave.", func(snp *control.Snapshot) float64 { return float64(len(snp.Fleet.Leaving)) })
 	gauge("evacuated_failure_domains", "Failure domains to which no request is sent.", func(snp *control.Snapshot) float64 {
@@ -150,6 +155,21 @@
 	})
 }
 
+// registerTopics registers counters of the parts of the store's topics that peers shared.
+func (met *Metrics) registerTopics(feeds map[string]*exchange.Feed) {
+	for topic, fed := range feeds {
+		counts := fed.Counts()
+		for outcome, count := range map[string]*atomic.Int64{
+			"applied": &counts.Applied, "known": &counts.Known, "ahead": &counts.Ahead, "outdated": &counts.Outdated,
+		} {
+			met.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+				Namespace: metricsNamespace, Name: "topic_parts_total", Help: "Parts of the store's topics that peers shared, by topic and outcome.",
+				ConstLabels: prometheus.Labels{"topic": topic, fieldOutcome: outcome},
+			}, func() float64 { return float64(count.Load()) }))
+		}
+	}
+}
+
 // ages returns the ages of the oldest load report of an endpoint and of the oldest usage sent by a peer that decisions
 // use.
 func (srv *Server) ages() (report, usage time.Duration) {
