Keep the era with what is known of evacuations

What callers could see: the store returns from a copy without the record of an evacuation. Gateways lifted the evacuation and sent requests to the failure domain until the operator had written the record again. A record after the return has a lower offset than what daemons know of the failure domain, so a daemon that was cut off, or had heard of a later lift, ignored it, and by gossip it could undo it at others.

Fix: catalog.Evacuations has an era. State of a peer of an earlier era is ignored, that of a later one begins the era here. Messages carry the era and the time left.

--- a/catalog/evacuation_test.go
+++ b/catalog/evacuation_test.go
@@ -14,7 +14,7 @@
 type evacuationStep struct {
 	At               time.Duration
 	Put, Whole, Peer []string
-	ReadTo           int64
+	Era, ReadTo      int64
 }
 
 type evacuationCase struct {
@@ -70,13 +70,14 @@
 
 func (stp *evacuationStep) apply(t *testing.T, flt *Fleet) {
 	now := testNow.Add(stp.At)
+	flt.Expire(now)
 	switch {
 	case stp.Put != nil:
-		flt.PutEvacuations(now, testEvacuations(t, stp.Put))
+		flt.PutEvacuations(now, testEvacuations(t, stp.Put), stp.Era)
 	case stp.Whole != nil:
-		flt.ReplaceEvacuations(now, testEvacuations(t, stp.Whole), stp.ReadTo)
+		flt.ReplaceEvacuations(now, testEvacuations(t, stp.Whole), stp.Era, stp.ReadTo)
 	case stp.Peer != nil:
-		peer := &Evacuations{ReadTo: stp.ReadTo, Domains: map[string]Evacuation{}}
+		peer := &Evacuations{Era: stp.Era, ReadTo: stp.ReadTo, Domains: map[string]Evacuation{}}
 		for _, rec := range testEvacuations(t, stp.Peer) {
 			peer.Domains[rec.Domain] = Evacuation{Offset: rec.Offset, Lifted: rec.Removed, At: now}
 		}
--- a/catalog/fleet.go
+++ b/catalog/fleet.go
@@ -187,8 +187,9 @@
 }
 
 // Expire drops the endpoints that did not register again in time after an outage. It also deletes expired marks of
-// endpoints without an entry.
+// endpoints without an entry, and lifts evacuations that were not confirmed.
 func (flt *Fleet) Expire(now time.Time) {
+	flt.expireEvacuations(now)
 	for id, until := range flt.pendingRemovals {
 		if until.Before(flt.graceUntil) {
 			flt.pendingRemovals[id] = flt.graceUntil
--- a/exchange/evacuations.go
+++ b/exchange/evacuations.go
@@ -21,6 +21,7 @@
 // evacuations is a daemon's state of the evacuations, as a message; see catalog.Evacuations.
 type evacuations struct {
 	Name    string                `json:"name"`
+	Era     int64                 `json:"era,omitempty"`
 	ReadTo  int64                 `json:"readTo"`
 	Domains map[string]evacuation `json:"domains,omitempty"`
 }
@@ -30,10 +31,12 @@
 	Lifted bool  `json:"lifted,omitempty"`
 	// AgeMS is the time since it came into force, or was lifted, in ms.
 	AgeMS int64 `json:"ageMs"`
+	// UnconfirmedMS is the time for which it stays in force without a record, in ms; 0 if it has one.
+	UnconfirmedMS int64 `json:"unconfirmedMs,omitempty"`
 }
 
-// evacuatedSum returns a hash of the evacuated failure domains and the offsets of their records, which does not depend on
-// their order.
+// evacuatedSum returns a hash of the evacuated failure domains and the offsets of their records in the store's era, which does not
+// depend on their order.
 func evacuatedSum(evs *catalog.Evacuations) uint64 {
 	if evs.Unread {
 		return unreadSum
@@ -41,7 +44,7 @@
 	var sum uint64
 	for domain, evc := range evs.Domains {
 		if !evc.Lifted {
-			sum += xxhash.Sum64String(domain + "/" + strconv.FormatInt(evc.Offset, 10))
+			sum += xxhash.Sum64String(domain + "/" + strconv.FormatInt(evc.Offset, 10) + "/" + strconv.FormatInt(evs.Era, 10))
 		}
 	}
 	return sum
@@ -52,9 +55,13 @@
 	if evs.Unread {
 		return nil
 	}
-	msg := &evacuations{Name: exc.Name, ReadTo: evs.ReadTo, Domains: map[string]evacuation{}}
+	now, msg := exc.Now(), &evacuations{Name: exc.Name, Era: evs.Era, ReadTo: evs.ReadTo, Domains: map[string]evacuation{}}
 	for domain, evc := range evs.Domains {
-		msg.Domains[domain] = evacuation{Offset: evc.Offset, Lifted: evc.Lifted, AgeMS: exc.Now().Sub(evc.At).Milliseconds()}
+		one := evacuation{Offset: evc.Offset, Lifted: evc.Lifted, AgeMS: now.Sub(evc.At).Milliseconds()}
+		if !evc.UnconfirmedUntil.IsZero() {
+			one.UnconfirmedMS = max(1, evc.UnconfirmedUntil.Sub(now).Milliseconds())
+		}
+		msg.Domains[domain] = one
 	}
 	return msg
 }
@@ -71,9 +78,13 @@
 
 func (exc *Exchange) applyEvacuations(ctx context.Context, source string, msg *evacuations) {
 	now := exc.Now()
-	peer := &catalog.Evacuations{ReadTo: msg.ReadTo, Domains: map[string]catalog.Evacuation{}}
+	peer := &catalog.Evacuations{Era: msg.Era, ReadTo: msg.ReadTo, Domains: map[string]catalog.Evacuation{}}
 	for domain, evc := range msg.Domains {
-		peer.Domains[domain] = catalog.Evacuation{Offset: evc.Offset, Lifted: evc.Lifted, At: now.Add(-time.Duration(evc.AgeMS) * time.Millisecond)}
+		one := catalog.Evacuation{Offset: evc.Offset, Lifted: evc.Lifted, At: now.Add(-time.Duration(evc.AgeMS) * time.Millisecond)}
+		if evc.UnconfirmedMS > 0 {
+			one.UnconfirmedUntil = now.Add(time.Duration(evc.UnconfirmedMS) * time.Millisecond)
+		}
+		peer.Domains[domain] = one
 	}
 	exc.Control.Send(ctx, control.Evacuations{Peer: peer, Source: source})
 }
--- a/exchange/fleet_test.go
+++ b/exchange/fleet_test.go
@@ -75,6 +75,8 @@
 	Until              time.Duration
 	// ColdPerS is the rate of requests that the service's cold endpoints sustain; 0 if it states none.
 	ColdPerS float64
+	// Keeps is a failure domain whose evacuation no daemon may lift once it knows of it.
+	Keeps string
 	// Late is the number of daemons, the last ones, that start with the step Start.
 	Late int
 	// MeasureFrom is when the counting of messages and connections begins.
@@ -314,9 +316,15 @@
 	}
 }
 
-// watch checks that the daemon's configuration never goes back.
+// watch checks that the daemon's configuration never goes back, and that it keeps the evacuation that the case names.
 func (flt *fleet) watch(dmn *fleetDaemon) {
+	evacuated := false
 	for flt.ctx.Err() == nil {
+		evs := dmn.Control.Snapshot().Fleet.Evacuations
+		if evacuated && !evs.Has(flt.cse.Keeps) {
+			flt.t.Errorf("%s: got the evacuation of %s lifted, want it kept", dmn.address, flt.cse.Keeps)
+		}
+		evacuated = evs.Has(flt.cse.Keeps)
 		version := dmn.Control.Snapshot().Version()
 		if version < dmn.version {
 			flt.t.Errorf("%s: got version %d after %d, want none before it", dmn.address, version, dmn.version)
