--- a/soak/plan.go
+++ b/soak/plan.go
@@ -21,6 +21,10 @@
 	maxLength = 5 * time.Second
 	// repeatShare is the share of faults that are repeated at the same target soon after they end.
 	repeatShare = 0.3
+	// maxRestores is the greatest number of times that the store returns from a copy, and maxRestoreLength the greatest
+	// length of such a fault.
+	maxRestores      = 2
+	maxRestoreLength = 4 * time.Second
 )
 
 // Kind is the kind of a fault.
@@ -45,6 +49,8 @@
 	KindLinkSilent  Kind = "engineLinkSilent"
 	KindLinkOneWay  Kind = "engineLinkOneWay"
 	KindPublish     Kind = "publish"
+	// KindRestore takes the store away, after which it returns from a copy that was made at the start of the fault.
+	KindRestore Kind = "storeRestore"
 )
 
 var kinds = []Kind{
@@ -74,6 +80,7 @@
 	if seed%plannedSeedStride == 0 {
 		choice = plannedKinds
 	}
+	restores := newRestores(seed, duration)
 	var plan []Fault
 	last := duration - recoveryTime - quietTime
 	for at := warmUpTime; at < last; at += time.Duration(rnd.ExpFloat64() * float64(meanGap)) {
@@ -88,10 +95,33 @@
 			flt.At += flt.Length + time.Duration(rnd.Int64N(int64(meanGap)))
 		}
 	}
+	plan = append(plan, restores...)
 	slices.SortStableFunc(plan, func(one, other Fault) int { return cmp.Compare(one.At, other.At) })
 	return plan
 }
 
+// newRestores returns the faults of a seed in which the store returns from a copy, one after the other. They are drawn apart from the
+// others, whose plans stay as they were before there were any.
+func newRestores(seed uint64, duration time.Duration) []Fault {
+	if seed%plannedSeedStride == 0 {
+		return nil
+	}
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	var restores []Fault
+	last := duration - recoveryTime - quietTime
+	at := warmUpTime + time.Duration(rnd.Int64N(int64(max(1, last-warmUpTime))))
+	for range 1 + rnd.IntN(maxRestores) {
+		flt := Fault{At: at, Length: time.Duration(rnd.Int64N(int64(maxRestoreLength))), Kind: KindRestore, Variant: rnd.IntN(100)}
+		if !flt.fitsBefore(last) {
+			break
+		}
+		flt.Length = min(flt.Length, last-flt.At)
+		restores = append(restores, flt)
+		at += flt.Length + time.Duration(rnd.Int64N(int64(meanGap)))
+	}
+	return restores
+}
+
 // fitsBefore reports whether the fault begins early enough to end before a time. A planned stop can take the whole
 // drainNotice; the length of any other fault can be cut.
 func (flt Fault) fitsBefore(last time.Duration) bool {
--- a/soak/world.go
+++ b/soak/world.go
@@ -53,6 +53,8 @@
 	mutex   sync.Mutex
 	calls   []*call
 	version int
+	// published is the newest version.
+	published []byte
 	// keys holds, for each configuration version in order, when it was written and whether it has the key two.
 	keys []keyVersion
 	// unplanned are the periods of all faults that are no planned work.
@@ -211,6 +213,8 @@
 		wld.store.SetMode(mode)
 		time.Sleep(flt.Length)
 		wld.store.SetMode(standin.StoreUp)
+	case KindRestore:
+		wld.restoreStore(flt)
 	case KindPublish:
 		wld.publish(flt.Variant%2 == 0)
 	case KindCrash:
@@ -230,6 +234,43 @@
 	}
 }
 
+// restoreModes are the ways in which the store is away before it returns from a copy.
+var restoreModes = []standin.StoreMode{standin.StoreBusy, standin.StoreSilent, standin.StoreReset}
+
+// restoreStore copies the store, takes it away for the second half of the fault, and brings it back from the copy. The operator then
+// writes the newest version again, at once or within 2 s, and the entries of endpoints that have ended lapse again.
+func (wld *world) restoreStore(flt Fault) {
+	copied := wld.store.Copy()
+	time.Sleep(flt.Length / 2)
+	for _, dmn := range wld.daemons {
+		dmn.addDisturbance(time.Now(), time.Now().Add(flt.Length/2+detectionTime))
+	}
+	wld.store.SetMode(restoreModes[flt.Variant%len(restoreModes)])
+	time.Sleep(flt.Length / 2)
+	wld.store.Restore(copied)
+	wld.store.SetMode(standin.StoreUp)
+	time.AfterFunc(entryLifetime, wld.removeEnded)
+	time.Sleep(time.Duration(flt.Variant%3) * time.Second)
+	wld.mutex.Lock()
+	defer wld.mutex.Unlock()
+	wld.store.Put("keyed.op", "config", wld.published)
+}
+
+// removeEnded removes the entries of endpoints that write none.
+func (wld *world) removeEnded() {
+	writing := map[string]bool{}
+	for _, eng := range wld.engines {
+		eng.mutex.Lock()
+		writing[eng.current.ID] = !eng.silent
+		eng.mutex.Unlock()
+	}
+	for _, id := range wld.store.Keys("keyed.servers") {
+		if !writing[id] {
+			wld.store.Put("keyed.servers", id, nil)
+		}
+	}
+}
+
 func (wld *world) applyLink(flt Fault, link *proxy) {
 	switch flt.Kind {
 	case KindLinkReset:
@@ -282,7 +323,8 @@
 	wld.mutex.Lock()
 	defer wld.mutex.Unlock()
 	wld.version++
-	wld.store.Put("keyed.op", "config", configuration(wld.version, hasTwo))
+	wld.published = configuration(wld.version, hasTwo)
+	wld.store.Put("keyed.op", "config", wld.published)
 	wld.keys = append(wld.keys, keyVersion{at: time.Now(), hasTwo: hasTwo})
 }
 
--- a/standin/keyedstore.go
+++ b/standin/keyedstore.go
@@ -111,6 +111,13 @@
 	return rec.offset
 }
 
+// Keys returns the keys of a topic that have a value.
+func (kst *KeyedStore) Keys(topic string) []string {
+	kst.mutex.Lock()
+	defer kst.mutex.Unlock()
+	return slices.Sorted(maps.Keys(kst.topic(topic).newest))
+}
+
 // Compact deletes a topic's records from the log; the newest record of each key can still be read by key.
 func (kst *KeyedStore) Compact(topic string) {
 	kst.mutex.Lock()
