Pause between two eras of the store, and leave reading on to others

A daemon that reads a topic whole because a peer has told it of a new era, or after a gap, no longer goes on reading for all.

Test: TestFeedPausesBetweenEras.

--- a/exchange/feed.go
+++ b/exchange/feed.go
@@ -140,9 +140,10 @@
 	started bool
 	// behind is true if a part was missed, so that the next reading is only for this daemon.
 	behind bool
-	// restored is true if the store has another era than next, so that the topic has to be read whole. telling is true if this
-	// daemon found that out itself, so that it shares what it reads.
-	restored, telling bool
+	// telling is true if this daemon found a new era of the store itself, so that it shares the whole topic once it has read it.
+	// eraChangedAt is when it last found one.
+	telling      bool
+	eraChangedAt time.Time
 	// applied is the position after the records that were last passed to Apply.
 	applied Position
 	// readAt is when this daemon last read the topic itself.
@@ -270,7 +271,7 @@
 	}
 	switch {
 	case whole:
-		fed.endWhole(now, records)
+		fed.endWhole(now, records, behind)
 	case behind:
 		fed.shared, fed.due = next.Offset, now.Add(fed.silence()+fed.succession())
 	default:
@@ -283,16 +284,18 @@
 
 // endWhole decides what follows a reading of the whole topic. After a change of the store's era, the peers have to read it whole,
 // too; the daemon that finds that out first reads for all.
-func (fed *Feed) endWhole(now time.Time, records []Record) {
+func (fed *Feed) endWhole(now time.Time, records []Record, behind bool) {
 	telling := fed.telling && fed.next.Era != 0
 	fed.shared, fed.settling = fed.next.Offset, !fed.started
-	fed.restored, fed.telling = false, false
+	fed.telling = false
 	switch {
 	case fed.settling:
 		fed.started, fed.due = true, now.Add(settleTime)
 	case telling:
 		fed.readAt = now
 		fed.share(now, records, true)
+	case behind:
+		fed.due = now.Add(fed.silence() + fed.succession())
 	}
 }
 
@@ -324,8 +327,7 @@
 		fed.Logger.WithError(err).WithFields(logrus.Fields{"topic": fed.Topic, "from": fed.next.Offset}).Info("records can't be read from this offset on; reading the whole topic")
 		fed.next.Offset, fed.due = unread, now
 		if IsEraChanged(err) {
-			// A daemon that precedes this one in the succession may read the topic for all meanwhile.
-			fed.restored, fed.telling, fed.due = true, true, now.Add(fed.succession())
+			fed.telling, fed.due = true, now.Add(fed.eraPause(now))
 		}
 		return
 	}
@@ -339,6 +341,17 @@
 	}
 }
 
+// eraPause returns how long this daemon waits before it reads the topic whole in a new era of the store. Daemons that precede it in
+// the succession may read it for all meanwhile, and a store that states another era each time must not be read without a pause.
+func (fed *Feed) eraPause(now time.Time) time.Duration {
+	last := fed.eraChangedAt
+	fed.eraChangedAt = now
+	if now.Sub(last) < 2*maxFeedPause {
+		return maxFeedPause
+	}
+	return fed.succession()
+}
+
 // fetch reads the whole topic or what follows the records known so far.
 func (fed *Feed) fetch(ctx context.Context, wait time.Duration) ([]Record, Position, error) {
 	if fed.next.Offset == unread {
@@ -394,7 +407,7 @@
 	case part.Whole && (isNewEra || fed.next.Offset != unread && part.Next > fed.next.Offset):
 		fed.counts.Applied.Add(1)
 		fed.noteEra(ctx, part.Era)
-		fed.next, fed.shared, fed.restored, fed.behind = next, part.Next, false, false
+		fed.next, fed.shared, fed.behind = next, part.Next, false
 		fed.apply(ctx, records, true, next)
 	case isNewEra, fed.next.Offset == unread:
 		fed.applyAhead(ctx, now, part, records)
@@ -429,7 +442,7 @@
 	fed.apply(ctx, records, false, Position{Era: max(part.Era, fed.next.Era), Offset: part.Next})
 	fed.telling = false
 	if fed.next.Offset != unread {
-		fed.next.Offset, fed.restored, fed.behind = unread, true, false
+		fed.next.Offset, fed.behind = unread, true
 		if fed.pause == minFeedPause {
 			fed.due, fed.settling = now.Add(gapPause+fed.succession()), false
 		}
--- a/exchange/feed_test.go
+++ b/exchange/feed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -69,3 +70,39 @@
 		}
 	})
 }
+
+// flappingReader is a topic of a store that states another era in each answer.
+type flappingReader struct {
+	reads atomic.Int64
+}
+
+// Newest returns no records.
+func (rdr *flappingReader) Newest(context.Context, string) ([]exchange.Record, exchange.Position, error) {
+	return nil, exchange.Position{Era: rdr.reads.Add(1)}, nil
+}
+
+// Read fails, since the era has changed.
+func (rdr *flappingReader) Read(_ context.Context, topic string, from exchange.Position, _ time.Duration) ([]exchange.Record, exchange.Position, error) {
+	return nil, from, exchange.ErrorEraChanged(topic, from.Era, rdr.reads.Add(1))
+}
+
+// A store that states another era in each answer must not be read without a pause: all daemons together may make 2,000 reads a
+// second.
+func TestFeedPausesBetweenEras(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		rdr, ctl, fed := &flappingReader{}, control.New(), exchange.NewFeed()
+		ctl.Logger = logrus.New()
+		ctl.Logger.(*logrus.Logger).SetOutput(io.Discard)
+		fed.Name, fed.Topic, fed.Wait, fed.Reader, fed.Control, fed.Logger = "a", "topic", time.Second, rdr, ctl, ctl.Logger
+		fed.Apply = func(context.Context, []exchange.Record, bool) []exchange.Record { return nil }
+		fed.Share = func(*exchange.TopicPart) {}
+		go ctl.Run(ctx)
+		go fed.Run(ctx)
+		time.Sleep(30 * time.Second)
+		if got, most := rdr.reads.Load(), int64(2*30*2); got > most {
+			t.Errorf("got %d reads in 30 s, want %d at most", got, most)
+		}
+	})
+}
