Delay removals only after a change of the store's era

An endpoint that is removed within 2.5 s of a daemon's start could have got requests for longer than the 2 s for which it serves on.

Fix: the report names the era before, and only a change from a known one counts as an outage.

Test: TestEraDelaysRemovals (case start) fails on the code before, which has no field for the era before; with the condition taken out it gets the endpoint kept.

--- a/control/control.go
+++ b/control/control.go
@@ -264,21 +264,19 @@
 	ctl.storeReadAt = now
 }
 
-// StoreEra is the input for the era that the store stated for one of its topics, if it was another one before.
+// StoreEra is the input for the era that the store stated for one of its topics. Before is the one that it stated before, 0 if the
+// topic is read for the first time.
 type StoreEra struct {
-	Era int64
+	Era, Before int64
 }
 
 // Apply records a change of the era, which happens when the store returns from a copy. Entries that are missing in the copy are
 // written again, so their removal is delayed as after an outage.
 func (era StoreEra) Apply(now time.Time, ctl *Control) {
-	if ctl.storeEra != 0 {
+	if era.Before != 0 {
 		ctl.fleet.RecordOutage(now)
 	}
-	if era.Era == ctl.storeEra {
-		return
-	}
-	if ctl.storeEra != 0 {
+	if era.Before != 0 && era.Era != ctl.storeEra {
 		ctl.storeRestores++
 		ctl.Logger.WithFields(logrus.Fields{"era": era.Era, "before": ctl.storeEra}).Warn("store returned from a copy; its topics are read whole")
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"papayacroft/catalog"
 )
 
 // A process that was paused holds a configuration in which a key may have been withdrawn meanwhile. Its view must count
@@ -45,3 +47,35 @@
 		}
 	}
 }
+
+// A store that returns from a copy may lack entries that endpoints write again within 1.2 s; the removal of an entry must wait for
+// that. At the start, when each topic shows the era for the first time, it must not wait: the endpoint may stop 2 s later.
+func TestEraDelaysRemovals(t *testing.T) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	for _, cse := range []struct {
+		name         string
+		eras         []StoreEra
+		restores     int64
+		wantEndpoint bool
+	}{
+		{"start", []StoreEra{{Era: 3}, {Era: 3}, {Era: 3}}, 0, false},
+		{"restored", []StoreEra{{Era: 3}, {Era: 4, Before: 3}, {Era: 4, Before: 3}}, 1, true},
+		{"twice", []StoreEra{{Era: 3}, {Era: 4, Before: 3}, {Era: 6, Before: 4}}, 2, true},
+		{"lower", []StoreEra{{Era: 3}, {Era: 2, Before: 3}}, 1, true},
+	} {
+		now := time.Unix(1_700_000_000, 0)
+		ctl := New()
+		ctl.Logger = logger
+		EndpointUpdate{Endpoints: []catalog.Endpoint{{ID: "e", State: catalog.StateReady, StartedAt: 1}}}.Apply(now, ctl)
+		for _, era := range cse.eras {
+			era.Apply(now, ctl)
+		}
+		EndpointUpdate{Whole: true}.Apply(now, ctl)
+		ctl.publish()
+		snp := ctl.Snapshot()
+		if got := snp.has("e"); got != cse.wantEndpoint || snp.StoreRestores != cse.restores {
+			t.Errorf("%s: got endpoint kept %t, %d restores, want %t, %d", cse.name, got, snp.StoreRestores, cse.wantEndpoint, cse.restores)
+		}
+	}
+}
--- a/exchange/feed.go
+++ b/exchange/feed.go
@@ -302,7 +302,7 @@
 // noteEra reports a change of the store's era.
 func (fed *Feed) noteEra(ctx context.Context, era int64) {
 	if era != fed.next.Era {
-		fed.Control.Send(ctx, control.StoreEra{Era: era})
+		fed.Control.Send(ctx, control.StoreEra{Era: era, Before: fed.next.Era})
 	}
 }
 
@@ -440,9 +440,9 @@
 	fed.counts.Ahead.Add(1)
 	fed.noteEra(ctx, max(part.Era, fed.next.Era))
 	fed.apply(ctx, records, false, Position{Era: max(part.Era, fed.next.Era), Offset: part.Next})
-	fed.telling = false
+	fed.telling, fed.behind = false, true
 	if fed.next.Offset != unread {
-		fed.next.Offset, fed.behind = unread, true
+		fed.next.Offset = unread
 		if fed.pause == minFeedPause {
 			fed.due, fed.settling = now.Add(gapPause+fed.succession()), false
 		}
