Send nothing to a service that is taken off the list of services

What callers saw: a version whose list of services is empty, or lacks the service of a route, changed nothing: the endpoints that name the service in their entries went on to get its requests.

Fix: if the configuration has the list, shares of services that are not on it are marked as withdrawn and never picked; a route without another share refuses its requests (503, not run). Without the list, the names in the routes count as before.

Test: TestScenarios/withdrawn_service fails without the mechanism ("until d1 once 503: timed out").

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -25,6 +25,13 @@
 type Share struct {
 	Service string
 	Weight  float64
+	// Withdrawn is true if the configuration has a list of services without this one, so that it gets no requests.
+	Withdrawn bool
+}
+
+// takesRequests reports whether requests may go to the share's service.
+func (shr *Share) takesRequests() bool {
+	return shr.Weight > 0 && !shr.Withdrawn
 }
 
 // Route describes how requests with a host and path prefix are served.
@@ -192,16 +199,18 @@
 	return cat.byKey[key]
 }
 
-// Pick returns the service for a request by the weights of a route; draw is in [0, 1). A share without a positive weight is never
-// picked; it returns "" if there are no others.
+// Pick returns the service for a request by the weights of a route; draw is in [0, 1). A share without a positive weight, or of a
+// withdrawn service, is never picked; it returns "" if there are no others.
 func (rou *Route) Pick(draw float64) string {
 	total := 0.0
 	for _, shr := range rou.Shares {
-		total += max(0, shr.Weight)
+		if shr.takesRequests() {
+			total += shr.Weight
+		}
 	}
 	left, last := draw*total, ""
 	for _, shr := range rou.Shares {
-		if shr.Weight <= 0 {
+		if !shr.takesRequests() {
 			continue
 		}
 		if left < shr.Weight {
--- a/catalog/fleet_test.go
+++ b/catalog/fleet_test.go
@@ -109,7 +109,7 @@
 
 // Pick chooses the services of a route in proportion to their weights.
 func TestPick(t *testing.T) {
-	rou := Route{Shares: []Share{{"a", 90}, {"b", 10}}}
+	rou := Route{Shares: []Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
 	for _, cse := range []struct {
 		draw float64
 		want string
--- a/gateway/scenario_start_test.go
+++ b/gateway/scenario_start_test.go
@@ -111,7 +111,8 @@
 
 // siteChanges are the differences of a configuration from the usual one.
 type siteChanges struct {
-	// without has the routes, the organisations and the fields tenants and limits that are left out.
+	// without has the routes, the organisations, the service desk and the fields tenants, limits and services that are left out;
+	// allServices stands for an empty list of services.
 	without map[string]bool
 	// moved has the services of routes, priorities their priorities, and zero a field that is 0, by route; "limits" is the
 	// section of limits.
@@ -189,7 +190,10 @@
 	engine := map[string]any{
 		"slots": 8, "kvCapacityTokens": 30000, "moves": true, "backups": true, "stride": 4, "handleS": 5, "kvTokenBytes": 1000, "linkMbps": 10000,
 	}
-	services := []map[string]any{{"name": "desk", "protocol": "h1"}, {"name": "pool", "protocol": "h1", "engine": engine}}
+	services := []map[string]any{{"name": "pool", "protocol": "h1", "engine": engine}}
+	if !chg.without["desk"] {
+		services = append(services, map[string]any{"name": "desk", "protocol": "h1"})
+	}
 	if chg.coldPerS > 0 {
 		for _, svc := range services {
 			svc["coldPerS"], svc["coldS"] = chg.coldPerS, chg.coldS
@@ -204,7 +208,10 @@
 		"version": num, "routes": routes, "tenants": chg.organisations(), "services": services,
 		"limits": limits,
 	}
-	for _, field := range []string{"tenants", "limits"} {
+	if chg.without["allServices"] {
+		doc["services"] = []any{}
+	}
+	for _, field := range []string{"tenants", "limits", "services"} {
 		if chg.without[field] {
 			delete(doc, field)
 		}
--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -176,7 +176,7 @@
 // runSite runs commands for the store, the operator and daemons; it returns false for other commands.
 func (sit *site) runSite(args []string) bool {
 	switch args[0] {
-	case "publish": // publish VERSION [without ROUTE|ORGANISATION|tenants|limits]... [move ROUTE SERVICE] [priority ROUTE NUMBER]... [routes COUNT] [cold PER_SECOND SECONDS] [emptyKey] [zero ROUTE|limits FIELD]...
+	case "publish": // publish VERSION [without ROUTE|ORGANISATION|desk|allServices|tenants|limits|services]... [move ROUTE SERVICE] [priority ROUTE NUMBER]... [routes COUNT] [cold PER_SECOND SECONDS] [emptyKey] [zero ROUTE|limits FIELD]...
 		sit.published = configuration(args[1], args[2:])
 		sit.markTraffic()
 		sit.store.Put("keyed.op", "config", sit.published)
--- a/lint/match.go
+++ b/lint/match.go
@@ -76,12 +76,15 @@
 		positive := false
 		for j, shr := range rou.Shares {
 			plc := inRoute(i, FieldShares).item(j)
-			if _, ok := cat.Services[shr.Service]; !ok {
+			switch _, ok := cat.Services[shr.Service]; {
+			case shr.Withdrawn:
+				lst.warn(plc, "service %q does not exist and gets no requests", shr.Service)
+			case !ok:
 				lst.warn(plc, "service %q does not exist", shr.Service)
 			}
 			switch {
 			case shr.Weight > 0:
-				positive, reached[shr.Service] = true, true
+				positive, reached[shr.Service] = positive || !shr.Withdrawn, true
 			case shr.Weight < 0:
 				lst.warn(plc, "share of service %q has the negative weight %v", shr.Service, shr.Weight)
 			default:
@@ -90,7 +93,7 @@
 		}
 		switch {
 		case !positive:
-			lst.warn(inRoute(i, FieldShares), "no share has a positive weight; the route refuses all requests")
+			lst.warn(inRoute(i, FieldShares), "no share has a positive weight and a service that exists; the route refuses all requests")
 		case rou.Closed != "":
 			lst.warn(inRoute(i, FieldNone), "the route refuses all requests: %s", rou.Closed)
 		}
