--- a/catalog/fleet.go
+++ b/catalog/fleet.go
@@ -255,8 +255,8 @@
 
 // IsLate reports whether an entry was written before what is known of the endpoint: before its present entry, or before the
 // entry that said that it drains or the last one before its removal. A write that was delayed on its way to the store is
-// the newest one there all the same. Listed is true for an entry of a list of all: there it may be one that a copy of the store has
-// kept although it was removed since, so it can't show that the endpoint does not leave.
+// the newest one there all the same. Listed is true for an entry from a list of all entries. After the store returned from a copy,
+// such a list may hold entries that were removed later, so they don't cancel a leaving mark.
 func (vew FleetView) IsLate(edp *Endpoint, listed bool) bool {
 	if old, known := vew.Endpoints[edp.ID]; known && edp.IsOlderThan(&old) {
 		return true
--- a/gateway/intake.go
+++ b/gateway/intake.go
@@ -68,8 +68,8 @@
 	dmn.gate.SetLimits(limits)
 }
 
-// limitOr returns a limit of the configuration, or the default if it states none. The gate has no limit of 0; with the least one,
-// no request keeps it either.
+// limitOr returns a limit of the configuration, or the default if it states none. The gate takes 0 for unset, so 0 becomes the
+// smallest limit, which no request meets.
 func limitOr[T int | time.Duration](limit, unstated T) T {
 	if limit == catalog.Unstated {
 		return unstated
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -240,7 +240,7 @@
 		// After a start, the configuration and the endpoints are read concurrently, so endpoints should follow shortly.
 		srv.awaitEndpoints(rqs.http.Context())
 	}
-	// Connections may not be idle at all.
+	// With an idle time-out of 0, each connection ends with its first answer.
 	if cat.Limits.IdleTimeout == 0 {
 		wri.Header().Set("Connection", "close")
 	}
